--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,101 @@
+#include "config/config.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "config/read.h"
+
+namespace fernward::config {
+namespace {
+
+std::string from_environment(Lookup environment, const char* name) {
+  const char* value = environment(name);
+  return value == nullptr ? "" : value;
+}
+
+// The environment goes before the file.
+std::string address(const Part& file, const char* key, Lookup environment, const char* variable) {
+  std::string value = from_environment(environment, variable);
+  const std::string named = value.empty() ? key : variable;
+  if (value.empty()) file.read(key, value);
+  if (value.empty()) throw Error(std::string(key) + ": is missing (as is " + variable + ")");
+  if (!is_address(value)) throw Error(named + ": \"" + value + "\" is no address of the form 10.0.0.4:7070");
+  return value;
+}
+
+std::uint64_t seed_of(const Part& file) {
+  const auto found = file.json.find("seed");
+  if (found == file.json.end() || found->is_null()) return 1;
+  if (found->is_number_unsigned()) return found->get<std::uint64_t>();
+  const std::string text = file.word("seed");
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+    throw Error("seed: \"" + text + "\" is no hexadecimal number of up to 16 digits");
+  }
+  return seed;
+}
+
+} // namespace
+
+bool is_address(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  in_addr host{};
+  std::uint16_t port = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+  return inet_pton(AF_INET, text.substr(0, colon).c_str(), &host) == 1 && error == std::errc() && stop == end;
+}
+
+Config parse(const std::string& text, Lookup environment) {
+  Part file;
+  try {
+    file.json = nlohmann::json::parse(text);
+  } catch (const nlohmann::json::exception&) {
+    throw Error("NODE_CONFIG: the file is not JSON");
+  }
+  if (!file.json.is_object()) throw Error("NODE_CONFIG: the file holds no JSON object");
+
+  Config config;
+  config.name = from_environment(environment, "NODE_NAME");
+  if (config.name.empty()) file.read("name", config.name);
+  if (config.name.empty()) config.name = "fernward";
+  config.listen = address(file, "listen", environment, "NODE_LISTEN");
+  config.discovery = address(file, "discovery", environment, "NODE_DISCOVERY");
+  config.seed = seed_of(file);
+  const Part limits = file.part("limits");
+  if (limits.json.contains("sockets")) limits.count("sockets", config.sockets);
+  if (config.sockets < 64) throw Error("limits.sockets: must be 64 or more");
+  if (const auto known = file.json.find("known"); known != file.json.end() && !known->is_null()) {
+    if (!known->is_object()) throw Error("known: must be an object");
+    config.known = *known;
+  }
+  const Part settings = file.needed_part("settings");
+  try {
+    config.settings = parse_settings(settings.json);
+    config.names = parse_names(settings.json);
+    config.limits = parse_limits(settings.json);
+    brookroad::validate(config.settings);
+  } catch (const Error& error) {
+    throw Error("settings." + std::string(error.what()));
+  } catch (const std::invalid_argument& error) {
+    throw Error(error.what());
+  }
+  return config;
+}
+
+Config load(Lookup environment) {
+  const std::string path = from_environment(environment, "NODE_CONFIG");
+  if (path.empty()) throw Error("NODE_CONFIG: is not set");
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw Error("NODE_CONFIG: cannot read " + path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse(text.str(), environment);
+}
+
+} // namespace fernward::config
--- /dev/null
+++ b/src/config/read.h
@@ -0,0 +1,76 @@
+// Typed reads from JSON that name the key at fault.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "config/settings.h"
+
+namespace fernward::config {
+
+// An object and where it stands, for messages.
+struct Part {
+  nlohmann::json json;
+  std::string path;
+
+  std::string at(const std::string& key) const { return path.empty() ? key : path + "." + key; }
+
+  // What is absent keeps its default.
+  template <typename T>
+  void read(const std::string& key, T& into) const {
+    const auto found = json.find(key);
+    if (found == json.end() || found->is_null()) return;
+    try {
+      found->get_to(into);
+    } catch (const nlohmann::json::exception&) {
+      throw Error(at(key) + ": has the wrong type (" + found->type_name() + ")");
+    }
+  }
+  template <typename T>
+  void need(const std::string& key, T& into) const {
+    if (!json.is_object()) throw Error((path.empty() ? "settings" : path) + ": must be an object");
+    if (!json.contains(key) || json.at(key).is_null()) throw Error(at(key) + ": is missing");
+    read(key, into);
+  }
+  // A count: JSON's -1 or 2.5 must not turn into one in silence.
+  void count(const std::string& key, std::uint32_t& into) const {
+    double value = into;
+    need(key, value);
+    if (!(value >= 0 && value <= 4294967295.0) ||
+        value != static_cast<double>(static_cast<std::uint32_t>(value))) {
+      throw Error(at(key) + ": must be a whole number, not negative");
+    }
+    into = static_cast<std::uint32_t>(value);
+  }
+  // A part that may be missing, but must be an object where it is there.
+  Part part(const std::string& key) const {
+    const auto found = json.find(key);
+    if (found == json.end() || found->is_null()) return {nlohmann::json::object(), at(key)};
+    if (!found->is_object()) throw Error(at(key) + ": must be an object");
+    return {*found, at(key)};
+  }
+  Part needed_part(const std::string& key) const {
+    if (!json.is_object()) throw Error((path.empty() ? "settings" : path) + ": must be an object");
+    if (!json.contains(key)) throw Error(at(key) + ": is missing");
+    return part(key);
+  }
+  // The objects of a list that may be missing.
+  std::vector<Part> list(const std::string& key) const {
+    std::vector<Part> parts;
+    const auto found = json.find(key);
+    if (found == json.end() || found->is_null()) return parts;
+    if (!found->is_array()) throw Error(at(key) + ": must be a list");
+    for (std::size_t i = 0; i < found->size(); ++i) {
+      parts.push_back({(*found)[i], at(key) + "[" + std::to_string(i) + "]"});
+      if (!parts.back().json.is_object()) throw Error(parts.back().path + ": must be an object");
+    }
+    return parts;
+  }
+  std::string word(const std::string& key) const {
+    std::string text;
+    read(key, text);
+    return text;
+  }
+};
+
+} // namespace fernward::config
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,146 @@
+#include "config/settings.h"
+
+#include <utility>
+
+#include "config/read.h"
+
+namespace fernward::config {
+namespace {
+
+using brookroad::ReportField;
+using brookroad::WeightKind;
+
+template <typename T>
+T one_of(const std::string& word, std::initializer_list<std::pair<const char*, T>> words, T otherwise) {
+  for (const auto& [name, value] : words) {
+    if (word == name) return value;
+  }
+  return otherwise;
+}
+
+brookroad::ClassSettings parse_class(const Part& from) {
+  using brookroad::Repeat;
+  using brookroad::Scope;
+  brookroad::ClassSettings cls;
+  from.need("give_up", cls.give_up_ms);
+  cls.aim_ms = cls.give_up_ms;
+  from.read("aim", cls.aim_ms);
+  from.read("aim_stretch", cls.aim_stretch);
+  from.read("late_share", cls.late_share);
+  from.read("worth", cls.worth);
+  from.read("window", cls.window_ms);
+  from.read("stream", cls.stream);
+  std::string repeat;
+  from.need("repeat", repeat);
+  // An unknown word gets the strictest meaning.
+  cls.repeat = one_of<Repeat>(repeat, {{"safe", Repeat::Safe}, {"keyed", Repeat::Keyed}}, Repeat::Unsafe);
+  cls.scope =
+      one_of<Scope>(from.word("dedup_scope"), {{"all", Scope::All}, {"zone", Scope::Zone}}, Scope::Cell);
+  return cls;
+}
+
+ReportField parse_field(const std::string& name) {
+  return one_of<ReportField>(name,
+                             {{"inflight", ReportField::Inflight},
+                              {"queue", ReportField::Queue},
+                              {"util", ReportField::Util},
+                              {"latency_ms", ReportField::LatencyMs},
+                              {"qps", ReportField::Qps},
+                              {"eps", ReportField::Eps}},
+                             ReportField::Other);
+}
+
+std::vector<std::string> names_of(const Part& from, const char* key) {
+  std::vector<std::string> names;
+  for (const Part& entry : from.list(key)) {
+    names.emplace_back();
+    entry.read("name", names.back());
+  }
+  return names;
+}
+
+double positive(const Part& from, const char* key, double otherwise) {
+  double value = otherwise;
+  from.read(key, value);
+  if (!(value > 0)) throw Error(from.at(key) + ": must be above 0");
+  return value;
+}
+
+} // namespace
+
+brookroad::Settings parse_settings(const nlohmann::json& json) {
+  const Part from{json, ""};
+  brookroad::Settings s;
+  from.count("balancers", s.nodes);
+  if (const auto zone = json.find("my_zone"); zone != json.end() && !zone->is_null()) {
+    from.count("my_zone", s.zone.emplace());
+  }
+  if (!json.contains("classes")) throw Error("classes: is missing");
+  for (const Part& cls : from.list("classes")) s.classes.push_back(parse_class(cls));
+  for (const Part& party : from.list("parties")) {
+    brookroad::TenantSettings tenant;
+    party.read("share", tenant.share);
+    party.read("quota_per_s", tenant.quota_per_s);
+    s.tenants.push_back(tenant);
+  }
+  from.read("over_share_worth", s.over_share_worth);
+  from.read("tick", s.tick_ms);
+
+  const Part extra = from.part("extra");
+  if (extra.word("mode") == "aside") extra.read("origin_kind", s.origin_kind);
+
+  const Part telemetry = from.part("telemetry");
+  s.report_via = one_of<brookroad::ReportVia>(
+      telemetry.word("via"),
+      {{"inline", brookroad::ReportVia::Answers}, {"on_probe", brookroad::ReportVia::Probes}},
+      brookroad::ReportVia::Never);
+  std::vector<std::string> columns;
+  telemetry.read("columns", columns);
+  for (const auto& name : columns) s.report_fields.push_back(parse_field(name));
+
+  s.discovery = from.word("registry_mode") == "ask" ? brookroad::Discovery::Ask : brookroad::Discovery::Push;
+  s.weight_kind = one_of<WeightKind>(
+      from.word("weight_kind"),
+      {{"nominal", WeightKind::Nominal}, {"rough", WeightKind::Rough}, {"live", WeightKind::Live}},
+      WeightKind::Off);
+
+  const Part limits = from.needed_part("limits");
+  limits.read("may_probe", s.may_probe);
+  limits.read("may_cancel", s.may_cancel);
+  limits.read("may_duplicate", s.may_duplicate);
+  limits.read("retry_after", s.retry_advice);
+  limits.read("max_retry_after", s.max_retry_after_ms);
+  limits.count("max_attempts", s.max_attempts);
+
+  const Part obligations = from.needed_part("obligations");
+  obligations.read("ask_every", s.ask_every_ms);
+  obligations.read("warm_after", s.warm_after_ms);
+  obligations.read("start_capacity", s.start_capacity);
+  obligations.read("tip_after", s.tip_after_ms);
+  return s;
+}
+
+Names parse_names(const nlohmann::json& json) {
+  const Part from{json, ""};
+  Names names;
+  names.classes = names_of(from, "classes");
+  names.tenants = names_of(from, "parties");
+  from.read("dcs", names.zones);
+  from.read("kinds", names.kinds);
+  from.part("telemetry").read("columns", names.report_fields);
+  return names;
+}
+
+Limits parse_limits(const nlohmann::json& json) {
+  const Part from{json, ""};
+  const Part part = from.part("limits");
+  Limits limits;
+  limits.connect_timeout_ms = positive(part, "connect_timeout", limits.connect_timeout_ms);
+  limits.conn_idle_ms = positive(part, "conn_idle", limits.conn_idle_ms);
+  limits.open_cap = positive(part, "open_cap", limits.open_cap);
+  limits.grace_to_answer_ms =
+      positive(from.part("obligations"), "grace_to_answer", limits.grace_to_answer_ms);
+  return limits;
+}
+
+} // namespace fernward::config
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,35 @@
+// The settings object: what the decision module and the network code need of it, checked, with defaults.
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "brookroad/choice.h"
+
+namespace fernward::config {
+
+// What is wrong, in words that begin with the faulty key.
+struct Error : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// The module's part. Unknown keys are passed over; throws Error for a needed key that is missing or for a
+// value of the wrong type.
+brookroad::Settings parse_settings(const nlohmann::json& from);
+
+// The network's part: names as they stand in headers and in discovery's list, and limits of connections.
+struct Names {
+  std::vector<std::string> classes, tenants, zones, kinds, report_fields;
+};
+struct Limits {
+  double connect_timeout_ms = 250;
+  double conn_idle_ms = 15000;
+  double grace_to_answer_ms = 20;
+  double open_cap = 20000;
+};
+Names parse_names(const nlohmann::json& from);
+Limits parse_limits(const nlohmann::json& from);
+
+} // namespace fernward::config
--- /dev/null
+++ b/src/egress/codec.cpp
@@ -0,0 +1,60 @@
+#include "egress/codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "http/parser.h"
+
+namespace fernward::egress {
+
+using brookroad::Result;
+
+std::string encode(const exchange::Call& call, const std::string& host, double remaining_ms) {
+  const std::string wait = std::to_string(std::max(1L, std::lround(std::floor(remaining_ms))));
+  std::vector<http::Header> headers = {{"X-Request-ID", call.id}, {"X-Timeout-Ms", wait}};
+  if (!call.repeat_key.empty()) headers.push_back({"Idempotency-Key", call.repeat_key});
+  return http::write_request(call.write ? "PUT" : "GET", call.target, host, headers, call.body);
+}
+
+exchange::Ending decode(http::Message answer, const std::vector<std::string>& report_fields) {
+  exchange::Ending ending;
+  ending.report = parse_report(answer.header("x-server-load"), report_fields);
+  const bool never_ran = answer.header("x-not-processed") == "1";
+  if (answer.status == 200) {
+    ending.result = Result::Ok;
+    ending.content_type = answer.header("content-type");
+    ending.body = std::move(answer.body);
+  } else if (answer.status == 404) {
+    ending.result = Result::Miss;
+  } else if ((answer.status == 503 || answer.status == 504) && never_ran) {
+    ending.result = Result::Full;
+  } else {
+    ending.result = Result::Error; // it may have run
+  }
+  return ending;
+}
+
+std::vector<float> parse_report(std::string_view text, const std::vector<std::string>& fields) {
+  std::vector<float> values(fields.size(), -1);
+  bool any = false;
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    const std::string_view item = http::trim(text.substr(0, comma));
+    text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    const auto equals = item.find('=');
+    if (equals == std::string_view::npos) continue;
+    const auto field = std::find(fields.begin(), fields.end(), http::trim(item.substr(0, equals)));
+    const std::string_view number = http::trim(item.substr(equals + 1));
+    float value = 0;
+    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), value);
+    if (field == fields.end() || error != std::errc() || end != number.data() + number.size()) continue;
+    if (!std::isfinite(value) || value < 0) continue;
+    values[static_cast<std::size_t>(field - fields.begin())] = value;
+    any = true;
+  }
+  if (!any) values.clear();
+  return values;
+}
+
+} // namespace fernward::egress
--- /dev/null
+++ b/src/egress/codec.h
@@ -0,0 +1,18 @@
+// What goes to an egress target and what its answer means. No sockets.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "exchange/call.h"
+#include "http/message.h"
+
+namespace fernward::egress {
+
+std::string encode(const exchange::Call& call, const std::string& host, double remaining_ms);
+exchange::Ending decode(http::Message answer, const std::vector<std::string>& report_fields);
+
+// "queue=2,util=0.61" in the order of `fields`; what is not told is -1, and nothing known gives no report.
+std::vector<float> parse_report(std::string_view text, const std::vector<std::string>& fields);
+
+} // namespace fernward::egress
--- /dev/null
+++ b/src/egress/pool.cpp
@@ -0,0 +1,234 @@
+#include "egress/pool.h"
+
+#include <algorithm>
+
+#include "egress/codec.h"
+#include "log/log.h"
+
+namespace fernward::egress {
+
+using brookroad::Result;
+using brookroad::ServerState;
+using exchange::Handle;
+using exchange::now_ms;
+
+Pool::Pool(event_base* base, exchange::Deadlines& deadlines, const PoolOptions& options, Ended ended)
+    : base_(base),
+      deadlines_(deadlines),
+      options_(options),
+      ended_(std::move(ended)),
+      connections_(options.most) {}
+
+bool Pool::in_service(brookroad::ServerId target) const {
+  const auto it = targets_.find(target);
+  return it != targets_.end() && it->second.entry.state == ServerState::Ready;
+}
+
+void Pool::update(const std::map<brookroad::ServerId, routes::Target>& targets) {
+  const auto before = std::exchange(targets_, targets);
+  for (const auto& [id, was] : before) {
+    const auto now = targets_.find(id);
+    if (!in_service(id)) {
+      close_free(id, "not-in-service");
+    } else if (now->second.address != was.address || now->second.entry.booted_at != was.entry.booted_at) {
+      close_free(id, "restarted"); // these lead to the process before
+    }
+  }
+}
+
+// ---- an attempt ----
+
+exchange::EgressSide::Start Pool::start(Handle attempt, brookroad::ServerId target,
+                                        const exchange::CallPtr& call, double deadline) {
+  if (!in_service(target)) return Start::NoTarget;
+  Connection* c = reusable(target);
+  if (c == nullptr) {
+    if (connections_.full() && !make_room()) return Start::Full;
+    c = open(targets_.at(target));
+    if (c == nullptr) return Start::NoTarget;
+  }
+  assign(*c, attempt, call, deadline);
+  return Start::Begun;
+}
+
+void Pool::assign(Connection& c, Handle attempt, const exchange::CallPtr& call, double deadline) {
+  c.attempt = attempt;
+  c.call = call;
+  c.deadline = deadline;
+  by_attempt_[attempt] = c.self;
+  if (c.up) write(c);
+}
+
+// The newest free connection that is not stale: the oldest are left to run out.
+Pool::Connection* Pool::reusable(brookroad::ServerId target) {
+  auto& free = free_[target];
+  for (const bool up : {true, false}) {
+    for (std::size_t i = free.size(); i-- > 0;) {
+      Connection* c = connections_.find(free[i]);
+      if (c == nullptr || c->up != up) continue;
+      if (up && exchange::peek(bufferevent_getfd(c->io.get())) != exchange::Peek::Quiet) {
+        close(*c, "stale"); // takes it out of `free`
+        i = std::min(i, free.size());
+        continue;
+      }
+      free.erase(free.begin() + static_cast<std::ptrdiff_t>(i));
+      if (up) deadlines_.cancel(c->ticket); // one that is coming up keeps its time-out
+      return c;
+    }
+  }
+  return nullptr;
+}
+
+Pool::Connection* Pool::open(const routes::Target& target) {
+  const Handle handle = connections_.add();
+  Connection& c = *connections_.find(handle);
+  c.pool = this;
+  c.self = handle;
+  c.target = target.entry.id;
+  c.name = target.name;
+  c.opened_at = now_ms();
+  c.io = exchange::make_bufferevent(base_, -1);
+  bufferevent_setcb(c.io.get(), &Pool::readable, nullptr, &Pool::changed, &c);
+  if (bufferevent_socket_connect(c.io.get(), reinterpret_cast<const sockaddr*>(&target.where),
+                                 sizeof target.where) != 0) {
+    close(c, "connect-failed");
+    return nullptr;
+  }
+  ++opened_;
+  exchange::set_nodelay(bufferevent_getfd(c.io.get()));
+  c.ticket = deadlines_.at(c.opened_at + options_.connect_timeout_ms, [this, handle] {
+    if (Connection* late = connections_.find(handle)) {
+      late->ticket = 0;
+      lose(*late, Result::ConnectFailed, "connect-timeout");
+    }
+  });
+  return &c;
+}
+
+// Closes the free connection that has waited longest, whichever target it leads to.
+bool Pool::make_room() {
+  Connection* oldest = nullptr;
+  for (const auto& [target, free] : free_) {
+    Connection* c = free.empty() ? nullptr : connections_.find(free.front());
+    if (c != nullptr && (oldest == nullptr || c->opened_at < oldest->opened_at)) oldest = c;
+  }
+  if (oldest == nullptr) return false;
+  close(*oldest, "table-full");
+  return true;
+}
+
+// Head and body go out in one go.
+void Pool::write(Connection& c) {
+  const std::string text = encode(*c.call, targets_.at(c.target).address, c.deadline - now_ms());
+  bufferevent_write(c.io.get(), text.data(), text.size());
+}
+
+void Pool::cancel(Handle attempt) {
+  const auto it = by_attempt_.find(attempt);
+  if (it == by_attempt_.end()) return;
+  Connection* c = connections_.find(it->second);
+  by_attempt_.erase(it);
+  if (c == nullptr) return;
+  c->attempt = 0;
+  if (c->up) return close(*c, "given-up"); // an answer is due on it: it never goes back to the pool
+  c->call.reset();
+  free_[c->target].push_back(c->self); // nothing was sent: the next attempt may have it
+}
+
+// ---- what the socket tells ----
+
+void Pool::readable(bufferevent*, void* c) {
+  auto* connection = static_cast<Connection*>(c);
+  connection->pool->read(*connection);
+}
+
+void Pool::changed(bufferevent*, short what, void* c) {
+  auto* connection = static_cast<Connection*>(c);
+  connection->pool->event(*connection, what);
+}
+
+void Pool::event(Connection& c, short what) {
+  if ((what & BEV_EVENT_CONNECTED) != 0) return came_up(c);
+  if (!c.up) return lose(c, Result::ConnectFailed, "connect-failed");
+  if (c.attempt == 0) return close(c, "peer-closed");
+  const bool eof = (what & BEV_EVENT_EOF) != 0;
+  if (eof && c.parser.end_of_input()) return answered(c, c.parser.take());
+  // While its last byte waits here, the request can't have run.
+  if (exchange::pending_output(c.io.get()) > 0) return lose(c, Result::ConnectFailed, "broke-unsent");
+  lose(c, Result::Reset, eof ? "cut-off" : "reset");
+}
+
+void Pool::came_up(Connection& c) {
+  c.up = true;
+  deadlines_.cancel(c.ticket);
+  bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
+  // Its target may have been withdrawn meanwhile: nothing new goes there.
+  if (!in_service(c.target)) return lose(c, Result::ConnectFailed, "not-in-service");
+  if (c.attempt != 0) return write(c);
+  std::erase(free_[c.target], c.self);
+  rest(c);
+}
+
+void Pool::read(Connection& c) {
+  const std::string_view input = exchange::pending_input(c.io.get());
+  if (c.attempt == 0) return close(c, input.empty() ? "peer-closed" : "unasked-bytes");
+  const std::size_t used = c.parser.feed(input);
+  const bool more = used < input.size();
+  exchange::consume_input(c.io.get(), used);
+  if (c.parser.fault() != http::Fault::None) return lose(c, Result::Reset, "malformed");
+  if (!c.parser.done()) return;
+  http::Message answer = c.parser.take();
+  // Bytes behind the answer, or an answer before the request is out: the next answer could not be told apart.
+  if (more || exchange::pending_output(c.io.get()) > 0) answer.keep_alive = false;
+  answered(c, std::move(answer));
+}
+
+void Pool::answered(Connection& c, http::Message answer) {
+  const bool keep = answer.keep_alive;
+  ++c.served;
+  by_attempt_.erase(c.attempt);
+  ended_(std::exchange(c.attempt, 0), decode(std::move(answer), options_.report_fields));
+  c.call.reset();
+  if (!keep) return close(c, "peer-said-close");
+  if (!in_service(c.target)) return close(c, "not-in-service");
+  rest(c);
+}
+
+void Pool::rest(Connection& c) {
+  free_[c.target].push_back(c.self);
+  c.ticket = deadlines_.at(now_ms() + options_.idle_ms, [this, handle = c.self] {
+    if (Connection* idle = connections_.find(handle)) {
+      idle->ticket = 0;
+      close(*idle, "idle");
+    }
+  });
+}
+
+void Pool::lose(Connection& c, Result result, const char* code) {
+  if (c.attempt != 0) {
+    by_attempt_.erase(c.attempt);
+    exchange::Ending ending;
+    ending.result = result;
+    ended_(std::exchange(c.attempt, 0), std::move(ending));
+  }
+  close(c, code);
+}
+
+// The connection is gone on return.
+void Pool::close(Connection& c, const char* code) {
+  log::line("egress connection ended: target=%s code=%s answers=%u ms=%.0f", c.name.c_str(), code, c.served,
+            now_ms() - c.opened_at);
+  deadlines_.cancel(c.ticket);
+  std::erase(free_[c.target], c.self);
+  connections_.remove(c.self);
+}
+
+void Pool::close_free(brookroad::ServerId target, const char* code) {
+  const auto handles = free_[target];
+  for (const Handle handle : handles) {
+    if (Connection* c = connections_.find(handle)) close(*c, code);
+  }
+  free_.erase(target);
+}
+
+} // namespace fernward::egress
--- /dev/null
+++ b/src/egress/pool.h
@@ -0,0 +1,84 @@
+// Connections to the egress targets: a pool for each, one exchange at a time on a connection.
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "exchange/call.h"
+#include "exchange/deadlines.h"
+#include "exchange/net.h"
+#include "exchange/slots.h"
+#include "http/parser.h"
+#include "routes/table.h"
+
+namespace fernward::egress {
+
+struct PoolOptions {
+  double connect_timeout_ms = 250;
+  double idle_ms = 10000; // an idle connection is closed after this
+  std::size_t most = 350; // connections to all targets together
+  std::vector<std::string> report_fields;
+};
+
+class Pool : public exchange::EgressSide {
+ public:
+  Pool(event_base* base, exchange::Deadlines& deadlines, const PoolOptions& options, Ended ended);
+
+  // What the route table holds now; targets that are missing are gone.
+  void update(const std::map<brookroad::ServerId, routes::Target>& targets);
+
+  Start start(exchange::Handle attempt, brookroad::ServerId target, const exchange::CallPtr& call,
+              double deadline) override;
+  void cancel(exchange::Handle attempt) override;
+
+  std::size_t connections() const { return connections_.size(); }
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  struct Connection {
+    Pool* pool = nullptr;
+    exchange::Handle self = 0;
+    brookroad::ServerId target = 0;
+    std::string name; // of the target, for the log line
+    exchange::BuffereventPtr io;
+    http::Parser parser{http::Kind::Response};
+    bool up = false;
+    exchange::Handle attempt = 0; // 0: none, the connection is idle or nobody waits for its coming up
+    exchange::CallPtr call;
+    double deadline = 0, opened_at = 0;
+    unsigned served = 0;
+    exchange::Deadlines::Ticket ticket = 0; // connect time-out, or idle time
+  };
+
+  static void readable(bufferevent*, void* c);
+  static void changed(bufferevent*, short what, void* c);
+  void read(Connection& c);
+  void event(Connection& c, short what);
+  void came_up(Connection& c);
+  void write(Connection& c);
+  void answered(Connection& c, http::Message answer);
+  void rest(Connection& c); // into the pool
+  Connection* reusable(brookroad::ServerId target);
+  Connection* open(const routes::Target& target);
+  bool make_room();
+  void assign(Connection& c, exchange::Handle attempt, const exchange::CallPtr& call, double deadline);
+  bool in_service(brookroad::ServerId target) const;
+  void lose(Connection& c, brookroad::Result result, const char* code); // ends its attempt too
+  void close(Connection& c, const char* code);
+  void close_free(brookroad::ServerId target, const char* code);
+
+  event_base* base_;
+  exchange::Deadlines& deadlines_;
+  PoolOptions options_;
+  Ended ended_;
+  std::map<brookroad::ServerId, routes::Target> targets_;
+  exchange::Slots<Connection> connections_;
+  std::map<brookroad::ServerId, std::vector<exchange::Handle>>
+      free_; // no attempt: up or coming up, newest last
+  std::unordered_map<exchange::Handle, exchange::Handle> by_attempt_;
+  std::uint64_t opened_ = 0;
+};
+
+} // namespace fernward::egress
--- /dev/null
+++ b/src/exchange/driver.h
@@ -0,0 +1,80 @@
+// Turns what happens on the sockets into the module's events and its actions into calls. It decides nothing:
+// which target, whether again and when to give up come from the module.
+//
+// Everything that happens is put into a queue that is worked off from the event loop, so that no callback of a
+// socket finds its own connection freed by what it reported.
+#pragma once
+
+#include <deque>
+
+#include "exchange/call.h"
+#include "exchange/deadlines.h"
+
+namespace fernward::exchange {
+
+struct DriverOptions {
+  double grace_ms = 20;        // an answer may come this much after the client's deadline
+  std::size_t open_cap = 4096; // exchanges at once
+};
+
+class Driver {
+ public:
+  Driver(event_base* base, Deadlines& deadlines, brookroad::Balancer balancer,
+         const brookroad::Settings& settings, const DriverOptions& options);
+
+  void attach(ClientSide& clients, EgressSide& egress) { clients_ = &clients, egress_ = &egress; }
+
+  Handle open(Handle client, Call call); // 0: the table is full; `call`'s last byte has just come
+  void client_gone(Handle exchange);
+  void attempt_ended(Handle attempt, Ending ending);
+  void list(brookroad::ServerList list);
+
+  std::size_t unanswered() const { return unanswered_; }
+  std::size_t open_attempts() const { return attempts_.size(); }
+
+ private:
+  struct Exchange {
+    Handle client = 0;
+    CallPtr call;
+    double deadline = 0;
+    std::vector<Handle> attempts; // by number
+    std::size_t out = 0;
+    bool over = false;
+    Deadlines::Ticket guard = 0;
+  };
+  struct Attempt {
+    Handle exchange = 0;
+    std::uint32_t number = 0;
+    brookroad::ServerId target = 0;
+    double sent_at = 0;
+    Deadlines::Ticket timeout = 0;
+  };
+
+  static void pumped(int, short, void* self) { static_cast<Driver*>(self)->pump(); }
+  void enqueue(brookroad::Event event);
+  void pump();
+  void carry_out(const brookroad::Action& action);
+  void send(const brookroad::Send& send);
+  void stop(Handle attempt, brookroad::Result result);
+  void end_attempt(Handle attempt, Ending ending);
+  void outcome(Handle exchange, std::uint32_t number, brookroad::ServerId target, double elapsed,
+               brookroad::Result result, std::vector<float> report = {});
+  void finish(Handle exchange, const Answer* answer);
+  void overdue(Handle exchange);
+  void drop_if_done(Handle exchange);
+
+  Deadlines& deadlines_;
+  brookroad::Balancer balancer_;
+  brookroad::Settings settings_;
+  DriverOptions options_;
+  ClientSide* clients_ = nullptr;
+  EgressSide* egress_ = nullptr;
+  Slots<Exchange> exchanges_;
+  Slots<Attempt> attempts_;
+  std::deque<brookroad::Event> events_;
+  std::vector<brookroad::Action> actions_;
+  std::size_t unanswered_ = 0;
+  EventPtr pump_;
+};
+
+} // namespace fernward::exchange
--- /dev/null
+++ b/src/exchange/net.cpp
@@ -0,0 +1,56 @@
+#include "exchange/net.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
+#include <new>
+
+namespace fernward::exchange {
+
+bool parse_address(const std::string& text, sockaddr_in& into) {
+  into = {};
+  into.sin_family = AF_INET;
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  std::uint16_t port = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+  into.sin_port = htons(port);
+  return inet_pton(AF_INET, text.substr(0, colon).c_str(), &into.sin_addr) == 1 && error == std::errc() &&
+         stop == end;
+}
+
+void set_nodelay(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+Peek peek(int fd) {
+  char byte = 0;
+  const auto n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) return Peek::Data;
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) ? Peek::Quiet : Peek::Closed;
+}
+
+BuffereventPtr make_bufferevent(event_base* base, int fd) {
+  BuffereventPtr b(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  if (b == nullptr) throw std::bad_alloc();
+  return b;
+}
+
+std::string_view pending_input(bufferevent* b) {
+  evbuffer* input = bufferevent_get_input(b);
+  const std::size_t size = evbuffer_get_length(input);
+  if (size == 0) return {};
+  return {reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), size};
+}
+
+void consume_input(bufferevent* b, std::size_t bytes) { evbuffer_drain(bufferevent_get_input(b), bytes); }
+
+std::size_t pending_output(bufferevent* b) { return evbuffer_get_length(bufferevent_get_output(b)); }
+
+} // namespace fernward::exchange
--- /dev/null
+++ b/src/exchange/net.h
@@ -0,0 +1,32 @@
+// RAII for bufferevents, and small helpers on sockets that ingress, egress and the watch share.
+#pragma once
+
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fernward::exchange {
+
+struct BuffereventFree {
+  void operator()(bufferevent* b) const { bufferevent_free(b); }
+};
+using BuffereventPtr = std::unique_ptr<bufferevent, BuffereventFree>;
+
+bool parse_address(const std::string& text, sockaddr_in& into); // IPv4 "host:port"
+void set_nodelay(int fd);
+
+enum class Peek { Quiet, Data, Closed };
+Peek peek(int fd); // what a read of the socket would find
+
+// A bufferevent whose callbacks come from the event loop only. Never null: throws std::bad_alloc.
+BuffereventPtr make_bufferevent(event_base* base, int fd);
+
+// A view of all that waits in the input, and how to take some of it out.
+std::string_view pending_input(bufferevent* b);
+void consume_input(bufferevent* b, std::size_t bytes);
+std::size_t pending_output(bufferevent* b);
+
+} // namespace fernward::exchange
--- /dev/null
+++ b/src/http/message.h
@@ -0,0 +1,42 @@
+// HTTP/1.1 messages as this project reads and writes them. No sockets.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace fernward::http {
+
+constexpr std::size_t kMaxBody = 64 * 1024;
+constexpr std::size_t kMaxHeader = 64 * 1024; // start line and all header lines together
+
+struct Message {
+  std::string method, target;                               // of a request
+  int status = 0;                                           // of a response
+  std::vector<std::pair<std::string, std::string>> headers; // names in lower case
+  std::string body;
+  bool keep_alive = true;
+
+  // The first header of that name (in lower case), or empty.
+  std::string_view header(std::string_view name) const {
+    for (const auto& [key, value] : headers) {
+      if (key == name) return value;
+    }
+    return {};
+  }
+};
+
+struct Header {
+  std::string_view name, value;
+};
+
+// A head and its body in one piece, so that both can go out in one go.
+std::string write_request(std::string_view method, std::string_view target, std::string_view host,
+                          const std::vector<Header>& headers, std::string_view body);
+std::string write_response(int status, const std::vector<Header>& headers, std::string_view body,
+                           bool keep_alive);
+std::string_view reason(int status);
+
+} // namespace fernward::http
--- /dev/null
+++ b/src/http/parser.cpp
@@ -0,0 +1,210 @@
+#include "http/parser.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace fernward::http {
+namespace {
+
+bool is_digit(char c) { return c >= '0' && c <= '9'; }
+
+bool parse_number(std::string_view text, int base, std::uint64_t& value) {
+  if (text.empty() || text.size() > 15) return false;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+  return error == std::errc() && end == text.data() + text.size() && text.front() != '-';
+}
+
+bool is_version(std::string_view text) {
+  return text.size() == 8 && text.substr(0, 7) == "HTTP/1." && is_digit(text[7]);
+}
+
+bool is_target(std::string_view text) { // printable, and a path
+  return !text.empty() && text.front() == '/' &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
+} // namespace
+
+bool is_token(std::string_view text) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+    return is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           kMarks.find(c) != std::string_view::npos;
+  });
+}
+
+std::string lower(std::string_view text) {
+  std::string out(text);
+  for (char& c : out) {
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  }
+  return out;
+}
+
+std::string_view trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool has_item(std::string_view list, std::string_view item) {
+  while (!list.empty()) {
+    const auto comma = list.find(',');
+    if (lower(trim(list.substr(0, comma))) == item) return true;
+    if (comma == std::string_view::npos) break;
+    list.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+std::size_t Parser::feed(std::string_view bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size() && fault_ == Fault::None && state_ != State::Done) {
+    const std::string_view rest = bytes.substr(used);
+    if (state_ == State::Fixed || state_ == State::ChunkData || state_ == State::UntilClose) {
+      const std::size_t n =
+          state_ == State::UntilClose ? rest.size() : std::min<std::uint64_t>(left_, rest.size());
+      if (message_.body.size() + n > kMaxBody) {
+        fail(Fault::BodyTooLarge);
+        break;
+      }
+      message_.body.append(rest.substr(0, n));
+      used += n;
+      if (state_ == State::UntilClose) continue;
+      left_ -= n;
+      if (left_ == 0) state_ = state_ == State::Fixed ? State::Done : State::ChunkEnd;
+      continue;
+    }
+    const auto end = rest.find('\n');
+    const std::size_t n = end == std::string_view::npos ? rest.size() : end + 1;
+    header_bytes_ += n;
+    if (header_bytes_ > kMaxHeader) {
+      fail(Fault::HeaderTooLarge);
+      break;
+    }
+    line_.append(rest.substr(0, n));
+    used += n;
+    if (end == std::string_view::npos) break;
+    if (line_.size() < 2 || line_[line_.size() - 2] != '\r') { // a bare LF ends no line here
+      fail(Fault::Malformed);
+      break;
+    }
+    line_.resize(line_.size() - 2);
+    std::string text;
+    text.swap(line_);
+    line(text);
+  }
+  return used;
+}
+
+bool Parser::end_of_input() {
+  if (state_ == State::UntilClose && fault_ == Fault::None) state_ = State::Done;
+  return state_ == State::Done;
+}
+
+Message Parser::take() {
+  Message out = std::move(message_);
+  *this = Parser(kind_);
+  return out;
+}
+
+void Parser::line(std::string_view text) {
+  switch (state_) {
+    case State::StartLine:
+      if (!text.empty()) start_line(text); // an empty line before a message is passed over
+      break;
+    case State::Headers: text.empty() ? headers_end() : header_line(text); break;
+    case State::ChunkSize: chunk_size(text); break;
+    case State::ChunkEnd: text.empty() ? void(state_ = State::ChunkSize) : fail(Fault::Malformed); break;
+    case State::Trailers:
+      if (text.empty()) state_ = State::Done;
+      break;
+    default: break;
+  }
+}
+
+void Parser::start_line(std::string_view text) {
+  const auto first = text.find(' ');
+  if (first == std::string_view::npos) return fail(Fault::Malformed);
+  std::string_view version;
+  if (kind_ == Kind::Request) {
+    const auto last = text.rfind(' ');
+    message_.method = text.substr(0, first);
+    message_.target = first < last ? text.substr(first + 1, last - first - 1) : "";
+    version = text.substr(last + 1);
+    if (!is_token(message_.method) || !is_target(message_.target)) return fail(Fault::Malformed);
+  } else {
+    version = text.substr(0, first);
+    const std::string_view code = text.substr(first + 1, 3);
+    std::uint64_t status = 0;
+    if (code.size() != 3 || !parse_number(code, 10, status) || status < 100) return fail(Fault::Malformed);
+    if (text.size() > first + 4 && text[first + 4] != ' ') return fail(Fault::Malformed);
+    message_.status = static_cast<int>(status);
+  }
+  if (!is_version(version)) return fail(Fault::Malformed);
+  version_1_0_ = version.back() == '0';
+  state_ = State::Headers;
+}
+
+void Parser::header_line(std::string_view text) {
+  const auto colon = text.find(':');
+  if (colon == std::string_view::npos || !is_token(text.substr(0, colon))) return fail(Fault::Malformed);
+  const std::string_view value = trim(text.substr(colon + 1));
+  const auto is_control = [](char c) {
+    return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
+  };
+  if (std::any_of(value.begin(), value.end(), is_control)) return fail(Fault::Malformed);
+  message_.headers.emplace_back(lower(text.substr(0, colon)), value);
+}
+
+void Parser::headers_end() {
+  if (kind_ == Kind::Response && message_.status < 200 && message_.status != 101) {
+    message_ = Message(); // an interim response: the real one follows
+    state_ = State::StartLine;
+    return;
+  }
+  bool has_length = false, chunked = false;
+  std::uint64_t length = 0;
+  message_.keep_alive = !version_1_0_;
+  for (const auto& [name, value] : message_.headers) {
+    if (name == "connection") {
+      if (has_item(value, "close"))
+        message_.keep_alive = false;
+      else if (has_item(value, "keep-alive"))
+        message_.keep_alive = true;
+    } else if (name == "content-length") {
+      std::uint64_t told = 0;
+      // Two lengths that differ, or a length beside chunks, hide a second message.
+      if (!parse_number(value, 10, told) || (has_length && told != length)) return fail(Fault::Malformed);
+      has_length = true;
+      length = told;
+    } else if (name == "transfer-encoding") {
+      if (chunked || lower(value) != "chunked") return fail(Fault::Malformed);
+      chunked = true;
+    }
+  }
+  if (chunked && (has_length || version_1_0_)) return fail(Fault::Malformed);
+  if (has_length && length > kMaxBody) return fail(Fault::BodyTooLarge);
+  const bool bodiless = kind_ == Kind::Response && (message_.status == 204 || message_.status == 304);
+  if (chunked && !bodiless) {
+    state_ = State::ChunkSize;
+  } else if (bodiless || (has_length && length == 0) || (!has_length && kind_ == Kind::Request)) {
+    state_ = State::Done;
+  } else if (has_length) {
+    left_ = length;
+    state_ = State::Fixed;
+  } else {
+    message_.keep_alive = false;
+    state_ = State::UntilClose;
+  }
+}
+
+void Parser::chunk_size(std::string_view text) {
+  std::uint64_t size = 0;
+  if (!parse_number(trim(text.substr(0, text.find(';'))), 16, size)) return fail(Fault::Malformed);
+  if (size > kMaxBody - message_.body.size()) return fail(Fault::BodyTooLarge);
+  left_ = size;
+  state_ = size == 0 ? State::Trailers : State::ChunkData;
+}
+
+} // namespace fernward::http
--- /dev/null
+++ b/src/http/writer.cpp
@@ -0,0 +1,54 @@
+#include "http/message.h"
+
+namespace fernward::http {
+namespace {
+
+void add(std::string& text, std::string_view name, std::string_view value) {
+  text.append(name).append(": ").append(value).append("\r\n");
+}
+
+void finish(std::string& text, const std::vector<Header>& headers, std::string_view body, bool with_length) {
+  for (const auto& [name, value] : headers) add(text, name, value);
+  if (with_length) add(text, "Content-Length", std::to_string(body.size()));
+  text.append("\r\n").append(body);
+}
+
+} // namespace
+
+std::string write_request(std::string_view method, std::string_view target, std::string_view host,
+                          const std::vector<Header>& headers, std::string_view body) {
+  std::string text;
+  text.reserve(256 + target.size() + body.size());
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  add(text, "Host", host);
+  finish(text, headers, body, method != "GET" || !body.empty());
+  return text;
+}
+
+std::string write_response(int status, const std::vector<Header>& headers, std::string_view body,
+                           bool keep_alive) {
+  std::string text;
+  text.reserve(192 + body.size());
+  text.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason(status)).append("\r\n");
+  if (!keep_alive) add(text, "Connection", "close");
+  finish(text, headers, body, true);
+  return text;
+}
+
+std::string_view reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 413: return "Content Too Large";
+    case 431: return "Request Header Fields Too Large";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+    default: return "Unknown";
+  }
+}
+
+} // namespace fernward::http
--- /dev/null
+++ b/src/ingress/codec.cpp
@@ -0,0 +1,90 @@
+#include "ingress/codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+#include "routes/table.h"
+
+namespace fernward::ingress {
+namespace {
+
+bool number(std::string_view text, double& value) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size() && std::isfinite(value) && value >= 0;
+}
+
+// The subject stands last in the path; the same name is the same number at every router. 0 means none.
+std::uint64_t key_of(std::string_view target) {
+  const std::string_view path = target.substr(0, target.find('?'));
+  const std::string_view last = path.substr(path.rfind('/') + 1);
+  return last.empty() ? 0 : std::max<std::uint64_t>(1, routes::hash_of(std::string(last)));
+}
+
+} // namespace
+
+Decoded decode(http::Message request, const config::Names& names, const brookroad::Settings& settings) {
+  Decoded out;
+  const auto fault = [&out](int status, const char* why) {
+    out.status = status;
+    out.why = why;
+    return out;
+  };
+  if (request.method != "GET" && request.method != "PUT") return fault(405, "method");
+  exchange::Call& call = out.call;
+  call.write = request.method == "PUT";
+  call.id = request.header("x-request-id");
+  if (call.id.empty()) return fault(400, "no X-Request-ID");
+  const auto cls = std::find(names.classes.begin(), names.classes.end(), request.header("x-priority-class"));
+  if (cls == names.classes.end()) return fault(400, "unknown X-Priority-Class");
+  call.category = static_cast<std::uint32_t>(cls - names.classes.begin());
+  const brookroad::ClassSettings& rules = settings.classes[call.category];
+  call.repeat_key = request.header("idempotency-key");
+  if (call.write && rules.repeat == brookroad::Repeat::Keyed && call.repeat_key.empty()) {
+    return fault(400, "no Idempotency-Key");
+  }
+  // A tenant that the settings do not name has no share.
+  call.tenant = static_cast<std::uint32_t>(
+      std::find(names.tenants.begin(), names.tenants.end(), request.header("x-tenant-id")) -
+      names.tenants.begin());
+  call.timeout_ms = rules.give_up_ms;
+  const std::string_view wait = request.header("x-timeout-ms");
+  if (!wait.empty() && !number(wait, call.timeout_ms)) return fault(400, "X-Timeout-Ms");
+  if (rules.give_up_ms > 0) call.timeout_ms = std::min(call.timeout_ms, rules.give_up_ms);
+  call.timeout_ms = std::min(call.timeout_ms, 3600e3);
+  double cost_us = 0;
+  if (number(request.header("x-cost"), cost_us)) call.work_ms = cost_us / 1000; // a hint: a bad one is none
+  call.key = key_of(request.target);
+  call.target = std::move(request.target);
+  call.body = std::move(request.body);
+  return out;
+}
+
+std::string encode(const exchange::Answer& answer, bool keep_alive) {
+  switch (answer.kind) {
+    case exchange::Answer::Kind::Served: {
+      std::vector<http::Header> headers;
+      if (!answer.content_type.empty()) headers.push_back({"Content-Type", answer.content_type});
+      return http::write_response(200, headers, answer.body, keep_alive);
+    }
+    case exchange::Answer::Kind::Refused: return encode_shed(answer.retry_after_ms, keep_alive);
+    default: return http::write_response(502, {}, "failed\n", keep_alive);
+  }
+}
+
+std::string encode_shed(double retry_after_ms, bool keep_alive) {
+  std::vector<http::Header> headers;
+  char seconds[32];
+  if (retry_after_ms > 0) {
+    std::snprintf(seconds, sizeof seconds, "%.3f", retry_after_ms / 1000);
+    headers.push_back({"Retry-After", seconds});
+  }
+  return http::write_response(503, headers, "shed\n", keep_alive);
+}
+
+std::string encode_fault(int status, const char* why) {
+  return http::write_response(status, {}, std::string(why) + "\n", false);
+}
+
+} // namespace fernward::ingress
--- /dev/null
+++ b/src/ingress/codec.h
@@ -0,0 +1,23 @@
+// From a client's HTTP request to a call, and from an answer to HTTP. No sockets.
+#pragma once
+
+#include <string>
+
+#include "config/config.h"
+#include "exchange/call.h"
+#include "http/message.h"
+
+namespace fernward::ingress {
+
+struct Decoded {
+  int status = 0; // 0: `call` is sound; else what to answer, and why
+  const char* why = "";
+  exchange::Call call;
+};
+Decoded decode(http::Message request, const config::Names& names, const brookroad::Settings& settings);
+
+std::string encode(const exchange::Answer& answer, bool keep_alive);
+std::string encode_shed(double retry_after_ms, bool keep_alive);
+std::string encode_fault(int status, const char* why);
+
+} // namespace fernward::ingress
--- /dev/null
+++ b/src/ingress/listener.cpp
@@ -0,0 +1,268 @@
+#include "ingress/listener.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+#include "ingress/codec.h"
+#include "log/log.h"
+
+namespace fernward::ingress {
+
+using exchange::Handle;
+using exchange::now_ms;
+
+namespace {
+
+constexpr double kAcceptPauseMs = 50;          // out of descriptors: the loop must not spin on accept
+constexpr std::size_t kMostInput = 160 * 1024; // a whole request and then some
+constexpr int kBacklog = 512;
+
+} // namespace
+
+Listener::Listener(event_base* base, exchange::Deadlines& deadlines, const ListenerOptions& options,
+                   const config::Names& names, const brookroad::Settings& settings, ListenerCalls calls)
+    : base_(base),
+      deadlines_(deadlines),
+      options_(options),
+      names_(names),
+      settings_(settings),
+      calls_(std::move(calls)),
+      connections_(options.most) {
+  sockaddr_in where{};
+  if (!exchange::parse_address(options.address, where)) {
+    throw std::runtime_error("listen: no address: " + options.address);
+  }
+  listener_.reset(evconnlistener_new_bind(base, &Listener::accepted, this,
+                                          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                                          kBacklog, reinterpret_cast<sockaddr*>(&where), sizeof where));
+  if (listener_ == nullptr) {
+    throw std::runtime_error("listen: cannot listen on " + options.address + ": " + std::strerror(errno));
+  }
+  evconnlistener_set_error_cb(listener_.get(), &Listener::accept_failed);
+}
+
+int Listener::port() const {
+  sockaddr_in where{};
+  socklen_t size = sizeof where;
+  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&where), &size);
+  return ntohs(where.sin_port);
+}
+
+// ---- connections come ----
+
+void Listener::accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+  static_cast<Listener*>(self)->accept(fd);
+}
+
+void Listener::accept_failed(evconnlistener*, void* self) {
+  log::line("ingress accept failed: %s", std::strerror(EVUTIL_SOCKET_ERROR()));
+  static_cast<Listener*>(self)->pause(kAcceptPauseMs);
+}
+
+void Listener::pause(double ms) {
+  if (stopped_ || paused_) return;
+  paused_ = true;
+  evconnlistener_disable(listener_.get());
+  resume_ = deadlines_.at(now_ms() + ms, [this] { resume(); });
+}
+
+void Listener::resume() {
+  deadlines_.cancel(resume_);
+  if (!paused_ || stopped_) return;
+  paused_ = false;
+  evconnlistener_enable(listener_.get());
+}
+
+// Closes the client connection that has rested longest between requests.
+bool Listener::make_room() {
+  Connection* oldest = nullptr;
+  connections_.each([&](Handle, Connection& c) {
+    const bool idle = c.state == Connection::State::Reading && !c.parser.begun() && c.requests > 0;
+    if (idle && (oldest == nullptr || c.rested_at < oldest->rested_at)) oldest = &c;
+  });
+  if (oldest == nullptr) return false;
+  close(*oldest, "table-full");
+  return true;
+}
+
+void Listener::accept(int fd) {
+  if (connections_.full() && !make_room()) { // the listener is paused one early: this is the last resort
+    const std::string text = encode_shed(options_.shed_retry_ms, false);
+    [[maybe_unused]] const auto sent = ::send(fd, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    ::close(fd);
+    log::line("ingress connection ended: code=table-full requests=0 ms=0");
+    return pause(kAcceptPauseMs);
+  }
+  const Handle handle = connections_.add();
+  Connection& c = *connections_.find(handle);
+  evutil_make_socket_nonblocking(fd);
+  exchange::set_nodelay(fd);
+  c.listener = this;
+  c.self = handle;
+  c.io = exchange::make_bufferevent(base_, fd);
+  c.opened_at = c.rested_at = now_ms();
+  bufferevent_setcb(c.io.get(), &Listener::readable, &Listener::written, &Listener::changed, &c);
+  bufferevent_setwatermark(c.io.get(), EV_READ, 0, kMostInput);
+  bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
+  limit(c, options_.idle_ms, "idle");
+}
+
+// ---- requests ----
+
+void Listener::readable(bufferevent*, void* c) {
+  auto* connection = static_cast<Connection*>(c);
+  connection->listener->read(*connection);
+}
+void Listener::written(bufferevent*, void* c) {
+  auto* connection = static_cast<Connection*>(c);
+  connection->listener->flushed(*connection);
+}
+void Listener::changed(bufferevent*, short what, void* c) {
+  auto* connection = static_cast<Connection*>(c);
+  connection->listener->event(*connection, what);
+}
+
+void Listener::read(Connection& c) {
+  const std::string_view input = exchange::pending_input(c.io.get());
+  if (c.state == Connection::State::Lingering || c.state == Connection::State::Closing) {
+    return exchange::consume_input(c.io.get(), input.size());
+  }
+  if (c.state == Connection::State::Waiting || input.empty()) return; // the next request waits its turn
+  const bool fresh = !c.parser.begun();
+  exchange::consume_input(c.io.get(), c.parser.feed(input));
+  switch (c.parser.fault()) {
+    case http::Fault::None: break;
+    case http::Fault::Malformed: return reply(c, encode_fault(400, "malformed"), false, "malformed");
+    case http::Fault::HeaderTooLarge: return reply(c, encode_fault(431, "header"), false, "header-too-large");
+    case http::Fault::BodyTooLarge: return reply(c, encode_fault(413, "body"), false, "body-too-large");
+  }
+  if (c.parser.done()) return handle(c, c.parser.take());
+  if (fresh && c.parser.begun()) limit(c, options_.request_ms, "request-timeout");
+  if (c.parser.wants_body() && !c.continued &&
+      http::lower(c.parser.message().header("expect")) == "100-continue") {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    c.continued = true;
+    bufferevent_write(c.io.get(), kContinue.data(), kContinue.size());
+  }
+}
+
+void Listener::handle(Connection& c, http::Message request) {
+  ++c.requests;
+  c.continued = false;
+  const bool keep = request.keep_alive && !draining_;
+  if (request.method == "GET" && request.target == "/ready") {
+    const bool ready = !draining_ && calls_.ready();
+    const std::string text =
+        http::write_response(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n", keep);
+    return reply(c, text, keep, "done");
+  }
+  Decoded decoded = decode(std::move(request), names_, settings_);
+  if (decoded.status != 0) return reply(c, encode_fault(decoded.status, decoded.why), false, decoded.why);
+  c.keep_alive = keep;
+  c.state = Connection::State::Waiting;
+  deadlines_.cancel(c.ticket);
+  c.exchange = calls_.open(c.self, std::move(decoded.call));
+  if (c.exchange == 0) reply(c, encode_shed(options_.shed_retry_ms, keep), keep, "shed");
+}
+
+// ---- answers ----
+
+void Listener::answer(Handle client, const exchange::Answer& answer) {
+  Connection* c = connections_.find(client);
+  if (c == nullptr || c->state != Connection::State::Waiting) return;
+  c->exchange = 0;
+  const bool keep = c->keep_alive && !draining_;
+  reply(*c, encode(answer, keep), keep, "done");
+}
+
+void Listener::reply(Connection& c, const std::string& text, bool keep_alive, const char* code) {
+  bufferevent_write(c.io.get(), text.data(), text.size());
+  c.rested_at = now_ms();
+  if (!keep_alive) {
+    c.state = Connection::State::Closing;
+    c.code = code;
+    return limit(c, options_.write_ms, "stalled");
+  }
+  c.state = Connection::State::Reading;
+  limit(c, options_.idle_ms, "idle");
+  // What the client has sent meanwhile is read from the loop: the caller still uses this connection.
+  if (!exchange::pending_input(c.io.get()).empty())
+    bufferevent_trigger(c.io.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+// All that was to be said is with the kernel. Closed at once, bytes still unread here would make the kernel
+// reset the connection, and the client could lose the answer.
+void Listener::flushed(Connection& c) {
+  if (c.state != Connection::State::Closing || exchange::pending_output(c.io.get()) > 0) return;
+  if (c.peer_closed) return close(c, c.code);
+  c.state = Connection::State::Lingering;
+  shutdown(bufferevent_getfd(c.io.get()), SHUT_WR);
+  limit(c, options_.linger_ms, c.code);
+}
+
+void Listener::event(Connection& c, short what) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
+  const bool reset = (what & BEV_EVENT_ERROR) != 0;
+  switch (c.state) {
+    case Connection::State::Waiting: {
+      const Handle exchange = std::exchange(c.exchange, 0);
+      close(c, "client-gone");
+      return calls_.gone(exchange);
+    }
+    case Connection::State::Closing:
+      if (reset) return close(c, "answer-cut");
+      c.peer_closed = true;
+      return;
+    case Connection::State::Lingering: return close(c, c.code);
+    default: return close(c, c.parser.begun() ? "request-cut" : reset ? "reset" : "client-closed");
+  }
+}
+
+void Listener::limit(Connection& c, double ms, const char* code) {
+  deadlines_.cancel(c.ticket);
+  c.ticket = deadlines_.at(now_ms() + ms, [this, handle = c.self, code] {
+    Connection* late = connections_.find(handle);
+    if (late == nullptr) return;
+    late->ticket = 0;
+    if (late->state == Connection::State::Reading && late->parser.begun()) {
+      return reply(*late, encode_fault(408, "too slow"), false, "request-timeout");
+    }
+    close(*late, code);
+  });
+}
+
+void Listener::close(Connection& c, const char* code) {
+  log::line("ingress connection ended: code=%s requests=%u ms=%.0f", code, c.requests,
+            now_ms() - c.opened_at);
+  deadlines_.cancel(c.ticket);
+  connections_.remove(c.self);
+  resume();
+  if (stopped_ && connections_.size() == 0) calls_.emptied();
+}
+
+// ---- the end ----
+
+void Listener::drain() { draining_ = true; }
+
+void Listener::stop() {
+  if (stopped_) return;
+  // What the kernel has taken for this router is taken: closing the socket would reset it.
+  const int listening = evconnlistener_get_fd(listener_.get());
+  for (int fd; (fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) accept(fd);
+  stopped_ = true;
+  deadlines_.cancel(resume_);
+  listener_.reset();
+  connections_.each([this](Handle, Connection& c) {
+    if (c.state != Connection::State::Reading || c.parser.begun() || exchange::pending_output(c.io.get()) > 0)
+      return;
+    const bool quiet = exchange::peek(bufferevent_getfd(c.io.get())) != exchange::Peek::Data;
+    if (quiet && exchange::pending_input(c.io.get()).empty()) close(c, "stopping");
+  });
+  if (connections_.size() == 0) calls_.emptied();
+}
+
+} // namespace fernward::ingress
--- /dev/null
+++ b/src/ingress/listener.h
@@ -0,0 +1,97 @@
+// The client's side: the listening socket, client connections, /ready, and answers on their way out.
+#pragma once
+
+#include <event2/listener.h>
+
+#include <functional>
+#include <memory>
+
+#include "config/config.h"
+#include "exchange/call.h"
+#include "exchange/deadlines.h"
+#include "exchange/net.h"
+#include "exchange/slots.h"
+#include "http/parser.h"
+
+namespace fernward::ingress {
+
+struct ListenerOptions {
+  std::string address;
+  std::size_t most = 500;      // connections at once
+  double idle_ms = 120000;     // between requests
+  double request_ms = 10000;   // for a request to come whole
+  double write_ms = 10000;     // for an answer to be taken
+  double linger_ms = 500;      // for the client to read the last answer and close
+  double shed_retry_ms = 1000; // advice where a table is full
+};
+
+struct ListenerCalls {
+  std::function<exchange::Handle(exchange::Handle client, exchange::Call)> open; // 0: no room
+  std::function<void(exchange::Handle exchange)> gone;
+  std::function<bool()> ready;
+  std::function<void()> emptied; // the last connection has ended after stop()
+};
+
+class Listener : public exchange::ClientSide {
+ public:
+  // Throws std::runtime_error when the address can't be listened on.
+  Listener(event_base* base, exchange::Deadlines& deadlines, const ListenerOptions& options,
+           const config::Names& names, const brookroad::Settings& settings, ListenerCalls calls);
+
+  void answer(exchange::Handle client, const exchange::Answer& answer) override;
+
+  void drain(); // from now on each answer says that the connection ends with it
+  void stop();  // takes what has come, closes the listening socket and what is idle
+
+  int port() const;
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    Listener* listener = nullptr;
+    exchange::Handle self = 0;
+    exchange::BuffereventPtr io;
+    http::Parser parser{http::Kind::Request};
+    enum class State { Reading, Waiting, Closing, Lingering } state = State::Reading;
+    exchange::Handle exchange = 0; // while waiting
+    bool keep_alive = true, continued = false, peer_closed = false;
+    unsigned requests = 0;
+    double opened_at = 0, rested_at = 0;
+    exchange::Deadlines::Ticket ticket = 0;
+    const char* code = "";
+  };
+  struct ListenerFree {
+    void operator()(evconnlistener* l) const { evconnlistener_free(l); }
+  };
+
+  static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
+  static void accept_failed(evconnlistener*, void* self);
+  static void readable(bufferevent*, void* c);
+  static void written(bufferevent*, void* c);
+  static void changed(bufferevent*, short what, void* c);
+
+  void accept(int fd);
+  void read(Connection& c);
+  void handle(Connection& c, http::Message request);
+  void reply(Connection& c, const std::string& text, bool keep_alive, const char* code);
+  void flushed(Connection& c);
+  void event(Connection& c, short what);
+  void limit(Connection& c, double ms, const char* code);
+  void close(Connection& c, const char* code);
+  void pause(double ms);
+  void resume();
+  bool make_room();
+
+  event_base* base_;
+  exchange::Deadlines& deadlines_;
+  ListenerOptions options_;
+  config::Names names_;
+  brookroad::Settings settings_;
+  ListenerCalls calls_;
+  exchange::Slots<Connection> connections_;
+  std::unique_ptr<evconnlistener, ListenerFree> listener_;
+  bool draining_ = false, paused_ = false, stopped_ = false;
+  exchange::Deadlines::Ticket resume_ = 0;
+};
+
+} // namespace fernward::ingress
