--- /dev/null
+++ b/src/router/router.cpp
@@ -0,0 +1,120 @@
+#include "router/router.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "log/log.h"
+
+namespace fernward::router {
+namespace {
+
+constexpr double kAcceptOnMs = 500;   // clients go on coming for this long after SIGTERM
+constexpr double kFinishMs = 600;     // and what they brought gets this long beyond its deadline
+constexpr std::size_t kReserved = 48; // descriptors for all but client and egress connections
+
+std::size_t connections(const config::Config& config) {
+  return std::max<std::size_t>(config.sockets, kReserved + 16) - kReserved;
+}
+
+exchange::DriverOptions driver_options(const config::Config& config) {
+  return {config.limits.grace_to_answer_ms, static_cast<std::size_t>(config.limits.open_cap)};
+}
+
+egress::PoolOptions pool_options(const config::Config& config) {
+  egress::PoolOptions options;
+  options.connect_timeout_ms = config.limits.connect_timeout_ms;
+  options.idle_ms = 0.7 * config.limits.conn_idle_ms; // well before the target closes it
+  options.most = connections(config) * 2 / 5;
+  options.report_fields = config.names.report_fields;
+  return options;
+}
+
+ingress::ListenerOptions listener_options(const config::Config& config) {
+  ingress::ListenerOptions options;
+  options.address = config.listen;
+  options.most = connections(config) * 3 / 5;
+  return options;
+}
+
+double longest_give_up(const brookroad::Settings& settings) {
+  double longest = 0;
+  for (const auto& cls : settings.classes) longest = std::max(longest, cls.give_up_ms);
+  return longest > 0 ? longest : 3000;
+}
+
+} // namespace
+
+BasePtr make_base() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER); // deadlines of some milliseconds
+  BasePtr base(event_base_new_with_config(config));
+  event_config_free(config);
+  if (base == nullptr) throw std::runtime_error("libevent: no event base");
+  return base;
+}
+
+Router::Router(const config::Config& config, event_base* base)
+    : config_(config),
+      base_(base),
+      deadlines_(base),
+      table_(config.names.zones, config.names.kinds),
+      driver_(base, deadlines_, brookroad::Balancer(config.settings, config.seed), config.settings,
+              driver_options(config)),
+      pool_(base, deadlines_, pool_options(config),
+            [this](exchange::Handle attempt, exchange::Ending ending) {
+              driver_.attempt_ended(attempt, std::move(ending));
+            }),
+      listener_(base, deadlines_, listener_options(config), config.names, config.settings, listener_calls()) {
+  driver_.attach(listener_, pool_);
+  take_known();
+  watch_ = std::make_unique<routes::Watch>(base, deadlines_, config.discovery,
+                                           [this](const std::string& text) { return take(text); });
+  log::line("%s serves on port %d of %s, discovery at %s", config_.name.c_str(), port(),
+            config_.listen.c_str(), config_.discovery.c_str());
+}
+
+Router::~Router() {
+  log::line("%s ends: unanswered=%zu egress-connections-opened=%llu log-lines-dropped=%llu",
+            config_.name.c_str(), driver_.unanswered(), static_cast<unsigned long long>(pool_.opened()),
+            static_cast<unsigned long long>(log::dropped()));
+}
+
+ingress::ListenerCalls Router::listener_calls() {
+  return {
+      [this](exchange::Handle client, exchange::Call call) { return driver_.open(client, std::move(call)); },
+      [this](exchange::Handle exchange) { driver_.client_gone(exchange); },
+      [this] { return table_.usable(); }, [this] { event_base_loopbreak(base_); }};
+}
+
+void Router::take_known() {
+  if (config_.known.is_null()) return;
+  try {
+    auto list = table_.apply(config_.known);
+    list.kind = brookroad::ListKind::Cached;
+    spread(std::move(list));
+  } catch (const routes::Damaged& damage) {
+    log::line("known: the list is damaged, discovery will tell: %s", damage.what());
+  }
+}
+
+std::uint64_t Router::take(const std::string& text) {
+  spread(table_.apply(text));
+  return table_.index();
+}
+
+void Router::spread(brookroad::ServerList list) {
+  pool_.update(table_.targets());
+  if (list.kind != brookroad::ListKind::Delta || !list.servers.empty()) driver_.list(std::move(list));
+}
+
+void Router::wind_down() {
+  if (winding_down_) return;
+  winding_down_ = true;
+  log::line("%s winds down", config_.name.c_str());
+  listener_.drain();
+  const double now = exchange::now_ms();
+  deadlines_.at(now + kAcceptOnMs, [this] { listener_.stop(); });
+  deadlines_.at(now + longest_give_up(config_.settings) + kFinishMs, [this] { event_base_loopbreak(base_); });
+}
+
+} // namespace fernward::router
--- /dev/null
+++ b/src/router/router.h
@@ -0,0 +1,58 @@
+// The router's parts, wired together: what leads from one to the other, its start and its end.
+#pragma once
+
+#include <event2/event.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "egress/pool.h"
+#include "exchange/driver.h"
+#include "ingress/listener.h"
+#include "routes/table.h"
+#include "routes/watch.h"
+
+namespace fernward::router {
+
+struct BaseFree {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+using BasePtr = std::unique_ptr<event_base, BaseFree>;
+BasePtr make_base(); // throws std::runtime_error
+
+class Router {
+ public:
+  // Listens and asks discovery; throws std::runtime_error when it can't listen. It serves as the loop runs, and
+  // breaks the loop once it has wound down.
+  Router(const config::Config& config, event_base* base);
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
+  ~Router();
+
+  void wind_down(); // what SIGTERM asks for: answer all that was taken, then end
+
+  int port() const { return listener_.port(); }
+  const exchange::Driver& driver() const { return driver_; }
+  const egress::Pool& pool() const { return pool_; }
+  const routes::Table& table() const { return table_; }
+
+ private:
+  ingress::ListenerCalls listener_calls();
+  void take_known();
+  std::uint64_t take(const std::string& text);
+  void spread(brookroad::ServerList list);
+
+  const config::Config config_;
+  event_base* base_;
+  exchange::Deadlines deadlines_;
+  routes::Table table_;
+  exchange::Driver driver_;
+  egress::Pool pool_;
+  ingress::Listener listener_;
+  std::unique_ptr<routes::Watch> watch_;
+  bool winding_down_ = false;
+};
+
+} // namespace fernward::router
