--- a/src/config/read.h
+++ b/src/config/read.h
@@ -1,6 +1,7 @@
 // Typed reads from JSON that name the key at fault.
 #pragma once
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -32,13 +33,20 @@
     if (!json.contains(key) || json.at(key).is_null()) throw Error(at(key) + ": is missing");
     read(key, into);
   }
+  // A number that must lie in a range; what is absent keeps its default.
+  void range(const std::string& key, double& into, double most = 1e300) const {
+    read(key, into);
+    if (!(into >= 0 && into <= most)) throw Error(at(key) + ": must be a number from 0 on" + limit(most));
+  }
+  static std::string limit(double most) {
+    return most < 1e300 ? " to " + std::to_string(std::lround(most)) : "";
+  }
   // A count: JSON's -1 or 2.5 must not turn into one in silence.
-  void count(const std::string& key, std::uint32_t& into) const {
+  void count(const std::string& key, std::uint32_t& into, double least = 0) const {
     double value = into;
     need(key, value);
-    if (!(value >= 0 && value <= 4294967295.0) ||
-        value != static_cast<double>(static_cast<std::uint32_t>(value))) {
-      throw Error(at(key) + ": must be a whole number, not negative");
+    if (!(value >= least && value <= 4294967295.0) || value != std::floor(value)) {
+      throw Error(at(key) + ": must be a whole number from " + std::to_string(std::lround(least)) + " on");
     }
     into = static_cast<std::uint32_t>(value);
   }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -23,12 +23,13 @@
   using brookroad::Scope;
   brookroad::ClassSettings cls;
   from.need("give_up", cls.give_up_ms);
+  from.range("give_up", cls.give_up_ms);
   cls.aim_ms = cls.give_up_ms;
-  from.read("aim", cls.aim_ms);
-  from.read("aim_stretch", cls.aim_stretch);
-  from.read("late_share", cls.late_share);
-  from.read("worth", cls.worth);
-  from.read("window", cls.window_ms);
+  from.range("aim", cls.aim_ms);
+  from.range("aim_stretch", cls.aim_stretch);
+  from.range("late_share", cls.late_share, 1);
+  from.range("worth", cls.worth);
+  from.range("window", cls.window_ms);
   from.read("stream", cls.stream);
   std::string repeat;
   from.need("repeat", repeat);
@@ -71,7 +72,7 @@
 brookroad::Settings parse_settings(const nlohmann::json& json) {
   const Part from{json, ""};
   brookroad::Settings s;
-  from.count("balancers", s.nodes);
+  from.count("balancers", s.nodes, 1);
   if (const auto zone = json.find("my_zone"); zone != json.end() && !zone->is_null()) {
     from.count("my_zone", s.zone.emplace());
   }
@@ -79,12 +80,12 @@
   for (const Part& cls : from.list("classes")) s.classes.push_back(parse_class(cls));
   for (const Part& party : from.list("parties")) {
     brookroad::TenantSettings tenant;
-    party.read("share", tenant.share);
-    party.read("quota_per_s", tenant.quota_per_s);
+    party.range("share", tenant.share, 1);
+    party.range("quota_per_s", tenant.quota_per_s);
     s.tenants.push_back(tenant);
   }
-  from.read("over_share_worth", s.over_share_worth);
-  from.read("tick", s.tick_ms);
+  from.range("over_share_worth", s.over_share_worth, 1);
+  from.range("tick", s.tick_ms);
 
   const Part extra = from.part("extra");
   if (extra.word("mode") == "aside") extra.read("origin_kind", s.origin_kind);
@@ -109,14 +110,14 @@
   limits.read("may_cancel", s.may_cancel);
   limits.read("may_duplicate", s.may_duplicate);
   limits.read("retry_after", s.retry_advice);
-  limits.read("max_retry_after", s.max_retry_after_ms);
-  limits.count("max_attempts", s.max_attempts);
+  limits.range("max_retry_after", s.max_retry_after_ms);
+  limits.count("max_attempts", s.max_attempts, 1);
 
   const Part obligations = from.needed_part("obligations");
-  obligations.read("ask_every", s.ask_every_ms);
-  obligations.read("warm_after", s.warm_after_ms);
-  obligations.read("start_capacity", s.start_capacity);
-  obligations.read("tip_after", s.tip_after_ms);
+  obligations.range("ask_every", s.ask_every_ms);
+  obligations.range("warm_after", s.warm_after_ms);
+  obligations.range("start_capacity", s.start_capacity, 1);
+  obligations.range("tip_after", s.tip_after_ms);
   return s;
 }
 
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,120 @@
+// The parser and the writer: how bytes are cut, what is rejected and what must not be taken for a message.
+#include <doctest/doctest.h>
+
+#include "http/parser.h"
+
+using namespace fernward::http;
+
+namespace {
+
+Parser parse(const std::string& bytes, Kind kind = Kind::Request) {
+  Parser parser(kind);
+  parser.feed(bytes);
+  return parser;
+}
+Fault fault(const std::string& bytes, Kind kind = Kind::Request) { return parse(bytes, kind).fault(); }
+
+} // namespace
+
+TEST_CASE("a request is the same however its bytes are cut") { // guards: state kept between reads
+  const std::string text =
+      "\r\nPUT /a/b?x=1 HTTP/1.1\r\nHost: h\r\nX-Request-ID:  9b \r\ntransfer-encoding: Chunked\r\n\r\n"
+      "3;ext=1\r\nabc\r\n0A\r\n0123456789\r\n0\r\nTrailer: t\r\n\r\nGET /";
+  for (std::size_t step : {1, 2, 7, 500}) {
+    Parser parser(Kind::Request);
+    std::size_t used = 0;
+    while (used < text.size() && !parser.done()) {
+      const std::size_t n = parser.feed(std::string_view(text).substr(used, step));
+      REQUIRE(parser.fault() == Fault::None);
+      REQUIRE(n > 0);
+      used += n;
+    }
+    REQUIRE(parser.done());
+    CHECK(text.substr(used) == "GET /"); // the next request's bytes stay
+    const Message message = parser.take();
+    CHECK(message.method == "PUT");
+    CHECK(message.target == "/a/b?x=1");
+    CHECK(message.header("x-request-id") == "9b");
+    CHECK(message.body == "abc0123456789");
+    CHECK(message.keep_alive);
+    CHECK_FALSE(parser.begun()); // ready for the next
+  }
+}
+
+TEST_CASE("what is no HTTP is malformed") { // guards: smuggling, header injection, forged lengths
+  const std::string head = "GET / HTTP/1.1\r\n";
+  for (const std::string& bad : {
+           std::string("GET /\r\n\r\n"),
+           std::string("GET / HTTP/2.0\r\n\r\n"),
+           std::string("G T / HTTP/1.1\r\n\r\n"),
+           std::string("GET nopath HTTP/1.1\r\n\r\n"),
+           std::string("GET / HTTP/1.1\n\n"),
+           std::string("\x16\x03\x01\r\n"),
+           head + "no colon\r\n\r\n",
+           head + "bad name : x\r\n\r\n",
+           head + " folded: x\r\n\r\n",
+           head + "A: b\x01\r\n\r\n",
+           head + "Content-Length: -1\r\n\r\n",
+           head + "Content-Length: 1x\r\n\r\n",
+           head + "Content-Length: 99999999999999999999\r\n\r\n",
+           head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+           head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+           head + "Transfer-Encoding: gzip, chunked\r\n\r\n",
+           head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+           head + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n",
+       }) {
+    CAPTURE(bad);
+    CHECK(fault(bad) == Fault::Malformed);
+  }
+  CHECK(fault(head + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab") == Fault::None); // the same twice
+}
+
+TEST_CASE("header and body have their caps, and the caps themselves pass") { // guards: memory
+  const std::string head = "PUT / HTTP/1.1\r\n";
+  const auto with_body = [&](std::size_t n) {
+    return head + "Content-Length: " + std::to_string(n) + "\r\n\r\n" + std::string(n, 'x');
+  };
+  CHECK(parse(with_body(kMaxBody)).done());
+  CHECK(fault(with_body(kMaxBody + 1)) == Fault::BodyTooLarge);
+  CHECK(fault(head + "Transfer-Encoding: chunked\r\n\r\nFFFFFFF\r\n") == Fault::BodyTooLarge);
+  CHECK(fault("GET /" + std::string(kMaxHeader, 'a')) == Fault::HeaderTooLarge); // no line end in sight
+  std::string many = head;
+  while (many.size() <= kMaxHeader) many += "A: b\r\n";
+  CHECK(fault(many) == Fault::HeaderTooLarge);
+  CHECK(fault("HTTP/1.1 200 OK\r\n\r\n" + std::string(kMaxBody + 1, 'x'), Kind::Response) ==
+        Fault::BodyTooLarge);
+}
+
+TEST_CASE("how a response ends") { // guards: a cut answer must not pass for a whole one
+  Parser until_close = parse("HTTP/1.1 200 OK\r\n\r\nabc", Kind::Response);
+  CHECK_FALSE(until_close.done());
+  CHECK(until_close.end_of_input());
+  CHECK(until_close.message().body == "abc");
+  CHECK_FALSE(until_close.message().keep_alive);
+  CHECK_FALSE(parse("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", Kind::Response).end_of_input());
+  CHECK_FALSE(parse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", Kind::Response)
+                  .end_of_input());
+  CHECK(parse("HTTP/1.1 204 No Content\r\n\r\n", Kind::Response).done());
+  CHECK(parse("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n", Kind::Response)
+            .message()
+            .status == 404);
+  CHECK_FALSE(parse("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", Kind::Response).message().keep_alive);
+  CHECK_FALSE(parse("HTTP/1.1 200 OK\r\nConnection: x, Close\r\nContent-Length: 0\r\n\r\n", Kind::Response)
+                  .message()
+                  .keep_alive);
+  for (const char* bad :
+       {"HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n", "ICY 200 OK\r\n", "HTTP/1.1 099 X\r\n"}) {
+    CHECK(fault(bad, Kind::Response) == Fault::Malformed);
+  }
+}
+
+TEST_CASE("what is written can be read again") { // guards: framing
+  Parser request = parse(write_request("PUT", "/a?b", "h:1", {{"X-A", "b"}}, "body"));
+  REQUIRE(request.done());
+  CHECK(request.message().header("host") == "h:1");
+  CHECK(request.message().body == "body");
+  Parser response = parse(write_response(503, {{"Retry-After", "1.5"}}, "", false), Kind::Response);
+  REQUIRE(response.done());
+  CHECK(response.message().header("retry-after") == "1.5");
+  CHECK_FALSE(response.message().keep_alive);
+}
--- /dev/null
+++ b/tests/net/parts_test.cpp
@@ -0,0 +1,202 @@
+// The parts that need no sockets: configuration, route table, slots, deadlines, codecs.
+#include <doctest/doctest.h>
+
+#include "egress/codec.h"
+#include "ingress/codec.h"
+#include "peers.h"
+#include "routes/table.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+using brookroad::Result;
+using brookroad::ServerState;
+
+TEST_CASE("a faulty configuration is told by its key") { // guards: one line naming the key
+  const auto message = [](const std::function<void(Json&)>& change) -> std::string {
+    Json file = config_json("127.0.0.1:8500", nullptr);
+    change(file);
+    try {
+      config::parse(file.dump(), &no_environment);
+    } catch (const config::Error& error) {
+      return error.what();
+    }
+    return "";
+  };
+  CHECK(message([](Json&) {}) == "");
+  const auto says = [&](const char* key, const std::function<void(Json&)>& change) {
+    CAPTURE(key);
+    const std::string text = message(change);
+    CHECK(text.rfind(std::string(key) + ":", 0) == 0);
+    CHECK(text.find('\n') == std::string::npos);
+  };
+  says("listen", [](Json& f) { f.erase("listen"); });
+  says("listen", [](Json& f) { f["listen"] = "nowhere"; });
+  says("discovery", [](Json& f) { f["discovery"] = "10.0.0.1:99999"; });
+  says("seed", [](Json& f) { f["seed"] = "xyz"; });
+  says("limits.sockets", [](Json& f) { f["limits"]["sockets"] = -1; });
+  says("known", [](Json& f) { f["known"] = 3; });
+  says("settings", [](Json& f) { f.erase("settings"); });
+  says("settings.balancers", [](Json& f) { f["settings"]["balancers"] = "three"; });
+  says("settings.balancers", [](Json& f) { f["settings"]["balancers"] = 0; });
+  says("settings.my_zone", [](Json& f) { f["settings"]["my_zone"] = -2; });
+  says("settings.classes", [](Json& f) { f["settings"].erase("classes"); });
+  says("settings.classes[1].give_up", [](Json& f) { f["settings"]["classes"][1].erase("give_up"); });
+  says("settings.classes[0].aim", [](Json& f) { f["settings"]["classes"][0]["aim"] = -5; });
+  says("settings.limits.max_attempts", [](Json& f) { f["settings"]["limits"].erase("max_attempts"); });
+  says("settings.limits.conn_idle", [](Json& f) { f["settings"]["limits"]["conn_idle"] = 0; });
+  says("settings.limits.open_cap", [](Json& f) { f["settings"]["limits"]["open_cap"] = "many"; });
+  says("settings.obligations.start_capacity",
+       [](Json& f) { f["settings"]["obligations"]["start_capacity"] = 2; });
+  says("settings.parties[0].share", [](Json& f) { f["settings"]["parties"][0]["share"] = 7; });
+  CHECK_THROWS_WITH_AS(config::parse("{", &no_environment), "NODE_CONFIG: the file is not JSON",
+                       config::Error);
+  CHECK_THROWS_WITH_AS(config::load(&no_environment), "NODE_CONFIG: is not set", config::Error);
+}
+
+TEST_CASE("the environment goes before the file") {
+  const auto environment = [](const char* name) -> const char* {
+    return std::string(name) == "NODE_LISTEN" ? "127.0.0.9:70" : nullptr;
+  };
+  const auto config = config::parse(config_json("127.0.0.1:8500", nullptr).dump(), environment);
+  CHECK(config.listen == "127.0.0.9:70");
+  CHECK(config.discovery == "127.0.0.1:8500");
+  CHECK(config.seed == 0x8c1f30d27a5be964ull);
+}
+
+TEST_CASE("the route table takes whole lists and changes") {
+  routes::Table table({"a", "b"}, {"cache", "origin"});
+  CHECK_FALSE(table.usable());
+  auto list = table.apply(node_list(3, true, {endpoint("x", "127.0.0.1:1"), endpoint("y", "127.0.0.1:2")}));
+  CHECK(list.kind == brookroad::ListKind::Full);
+  CHECK(list.servers.size() == 2);
+  list = table.apply(node_list(4, false, {endpoint("x", "127.0.0.1:1", "terminating")}));
+  CHECK(list.kind == brookroad::ListKind::Delta);
+  REQUIRE(list.servers.size() == 1);
+  CHECK(list.servers[0].state == ServerState::Draining);
+  CHECK(list.servers[0].id == routes::id_of("x"));
+  list = table.apply(
+      node_list(5, false, {endpoint("x", "", "terminated"), endpoint("y", "127.0.0.1:2", "odd")}));
+  REQUIRE(list.servers.size() == 2);
+  CHECK(list.servers[0].state == ServerState::Gone);
+  CHECK(list.servers[1].state == ServerState::Draining); // an unknown word: nothing new goes there
+  CHECK(table.targets().size() == 1);
+  CHECK_FALSE(table.usable());
+}
+
+TEST_CASE("a damaged list changes nothing") { // guards: half-applied lists
+  routes::Table table({"a"}, {"cache"});
+  table.apply(node_list(3, true, {endpoint("x", "127.0.0.1:1")}));
+  for (const std::string& text :
+       {std::string("<html>"), std::string("{}"), std::string("[]"), std::string("{\"index\":4"),
+        node_list(4, true, {endpoint("z", "127.0.0.1:1"), endpoint("y", "nowhere")}).dump(),
+        node_list(4, true, {endpoint("z", "127.0.0.1:1"), Json{{"name", "y"}}}).dump(),
+        node_list(-4, true, {}).dump() + "x"}) {
+    CAPTURE(text);
+    CHECK_THROWS_AS(table.apply(text), routes::Damaged);
+    CHECK(table.index() == 3);
+    CHECK(table.targets().count(routes::id_of("x")) == 1);
+  }
+}
+
+TEST_CASE("numbers depend on the name alone, and two names never share a target") { // guards: id collisions
+  CHECK(routes::id_of("s-5be2a07c") == 1166140301u); // the same at every router and version
+  CHECK(routes::index_of("b", {"a", "b"}) == 1);
+  CHECK(routes::index_of("c", {"a", "b"}) >= 2);
+  CHECK(routes::index_of("c", {"a", "b"}) == routes::index_of("c", {"a", "b"}));
+  // Two names that share a number, found by search: a birthday among 2^17 names.
+  std::map<brookroad::ServerId, std::string> taken;
+  std::string first, second;
+  for (int i = 0; second.empty(); ++i) {
+    const auto [it, added] = taken.emplace(routes::id_of("s-" + std::to_string(i)), "s-" + std::to_string(i));
+    if (!added) first = it->second, second = "s-" + std::to_string(i);
+  }
+  const std::string lesser = std::min(first, second);
+  for (const bool swapped : {false, true}) {
+    routes::Table table({}, {});
+    table.apply(node_list(1, true,
+                          {endpoint(swapped ? second : first, "127.0.0.1:1"),
+                           endpoint(swapped ? first : second, "127.0.0.1:2")}));
+    REQUIRE(table.targets().size() == 1);
+    CHECK(table.targets().begin()->second.name == lesser);
+  }
+}
+
+TEST_CASE("a handle that was kept too long finds nothing") { // guards: answers on reused slots
+  exchange::Slots<int> slots(2);
+  const auto first = slots.add(1);
+  const auto second = slots.add(2);
+  CHECK(slots.add(3) == 0); // full
+  slots.remove(first);
+  slots.remove(first);
+  const auto third = slots.add(3);
+  CHECK(third != first);
+  CHECK(third < (1ull << 52)); // as the module's ids must be
+  CHECK(slots.find(first) == nullptr);
+  CHECK(*slots.find(second) == 2);
+  CHECK(*slots.find(third) == 3);
+  CHECK(slots.size() == 2);
+}
+
+TEST_CASE("deadlines fire in order, and not once cancelled") {
+  const auto base = router::make_base();
+  exchange::Deadlines deadlines(base.get());
+  std::string order;
+  const double now = exchange::now_ms();
+  deadlines.at(now + 20, [&] { order += 'c'; });
+  auto cancelled = deadlines.at(now + 5, [&] { order += 'x'; });
+  auto inner = deadlines.at(now + 15, [&] { order += 'y'; });
+  deadlines.at(now + 10, [&] {
+    order += 'a';
+    deadlines.cancel(inner); // from within another
+    deadlines.at(now + 10, [&] { order += 'b'; });
+  });
+  deadlines.cancel(cancelled);
+  CHECK(cancelled == 0);
+  CHECK(run_until(base.get(), [&] { return deadlines.size() == 0; }));
+  CHECK(order == "abc");
+}
+
+TEST_CASE("what an answer of a target means") {
+  const auto result = [](int code, const char* not_processed) {
+    http::Message answer;
+    answer.status = code;
+    if (*not_processed != '\0') answer.headers.emplace_back("x-not-processed", not_processed);
+    return egress::decode(answer, {}).result;
+  };
+  CHECK(result(200, "") == Result::Ok);
+  CHECK(result(404, "") == Result::Miss);
+  CHECK(result(503, "1") == Result::Full);
+  CHECK(result(504, "1") == Result::Full);
+  CHECK(result(503, "") == Result::Error); // without the word it may have run
+  CHECK(result(500, "1") == Result::Error);
+  CHECK(result(301, "") == Result::Error);
+}
+
+TEST_CASE("load reports stand in the order of the settings") {
+  const std::vector<std::string> fields = {"eps", "latency_ms", "queue"};
+  CHECK(egress::parse_report("queue=3, latency_ms=12.5,x9=1", fields) == std::vector<float>{-1, 12.5, 3});
+  CHECK(egress::parse_report("", fields).empty());
+  CHECK(egress::parse_report("queue=nan,eps=-1,latency_ms=1e,=,,", fields).empty());
+}
+
+TEST_CASE("what a client's headers become") {
+  const auto config = config::parse(config_json("127.0.0.1:1", nullptr).dump(), &no_environment);
+  const auto decode = [&](const std::string& text) {
+    http::Parser parser(http::Kind::Request);
+    parser.feed(text);
+    return ingress::decode(parser.take(), config.names, config.settings);
+  };
+  const auto read = decode(get("/api/7f?q=a/b", "r1", "X-Cost: 12500\r\nX-Attrs: a=b\r\n"));
+  CHECK(read.status == 0);
+  CHECK(read.call.target == "/api/7f?q=a/b");
+  CHECK(read.call.work_ms == doctest::Approx(12.5));
+  CHECK(read.call.key == decode(get("/other/7f", "r2")).call.key); // the path's last part, not the query's
+  CHECK(read.call.key != decode(get("/api/80", "r2")).call.key);
+  CHECK(decode(get("/api/", "r2")).call.key == 0);
+  CHECK(read.call.tenant == 0);
+  CHECK(decode(get("/a", "r", "X-Cost: lots\r\n")).call.work_ms == 0); // a hint: a bad one is none
+  CHECK(decode("GET /a HTTP/1.1\r\nX-Request-ID: i\r\nX-Priority-Class: read\r\n\r\n").call.timeout_ms ==
+        2000);
+  CHECK(decode("GET /a HTTP/1.1\r\nX-Request-ID: i\r\nX-Priority-Class: read\r\nX-Timeout-Ms: 1e99\r\n\r\n")
+            .call.timeout_ms == 2000);
+}
--- /dev/null
+++ b/tests/net/peers.h
@@ -0,0 +1,255 @@
+// Scripted peers on loopback sockets, all in one event loop with the router under test.
+#pragma once
+
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "exchange/deadlines.h"
+#include "exchange/net.h"
+#include "http/parser.h"
+#include "router/router.h"
+
+namespace fernward::tests {
+
+using Json = nlohmann::json;
+
+inline std::string ok(const std::string& body, const std::string& headers = "") {
+  return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+inline std::string status(int code, const std::string& headers = "") {
+  return "HTTP/1.1 " + std::to_string(code) + " X\r\n" + headers + "Content-Length: 0\r\n\r\n";
+}
+const std::string kMiss = status(404);
+const std::string kTurnedAway = status(503, "X-Not-Processed: 1\r\n");
+
+// Runs the loop until `done` holds; false after ten seconds, far more than any story takes.
+inline bool run_until(event_base* base, const std::function<bool()>& done) {
+  const double end = exchange::now_ms() + 10000;
+  const exchange::EventPtr tick(event_new(
+      base, -1, EV_PERSIST, [](int, short, void*) {}, nullptr));
+  const timeval each{0, 2000};
+  event_add(tick.get(), &each);
+  while (!done()) {
+    if (exchange::now_ms() > end) return false;
+    event_base_loop(base, EVLOOP_ONCE);
+  }
+  return true;
+}
+inline void run_for(event_base* base, double ms) {
+  const double end = exchange::now_ms() + ms;
+  run_until(base, [end] { return exchange::now_ms() >= end; });
+}
+
+// A server that answers each request by its script: bytes to send, or nothing. "!" in front: then close.
+class Peer {
+ public:
+  using Script = std::function<std::string(const http::Message&)>;
+
+  Peer(event_base* base, Script what) : script(std::move(what)), base_(base) {
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    listener_ = evconnlistener_new_bind(base, &Peer::accepted, this, LEV_OPT_CLOSE_ON_FREE, 64,
+                                        reinterpret_cast<sockaddr*>(&where), sizeof where);
+    socklen_t size = sizeof where;
+    getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&where), &size);
+    address = "127.0.0.1:" + std::to_string(ntohs(where.sin_port));
+  }
+  ~Peer() {
+    if (listener_ != nullptr) evconnlistener_free(listener_);
+  }
+  Peer(const Peer&) = delete;
+
+  void say(const std::string& text) { send(last_, text); } // on the connection of the last request
+  void hang_up() { links_.clear(); }
+  void refuse() { // from now on connections are refused
+    evconnlistener_free(std::exchange(listener_, nullptr));
+    hang_up();
+  }
+  std::size_t open() const {
+    std::size_t n = 0;
+    for (const auto& link : links_) n += link->io != nullptr;
+    return n;
+  }
+
+  Script script;
+  std::string address;
+  std::vector<http::Message> seen;
+  int connections = 0;
+
+ private:
+  struct Link {
+    Peer* peer;
+    exchange::BuffereventPtr io;
+    http::Parser parser{http::Kind::Request};
+  };
+  static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+    auto* peer = static_cast<Peer*>(self);
+    evutil_make_socket_nonblocking(fd);
+    ++peer->connections;
+    Link& link = *peer->links_.emplace_back(std::make_unique<Link>());
+    link.peer = peer;
+    link.io = exchange::make_bufferevent(peer->base_, fd);
+    bufferevent_setcb(
+        link.io.get(),
+        [](bufferevent*, void* l) { static_cast<Link*>(l)->peer->read(*static_cast<Link*>(l)); }, nullptr,
+        [](bufferevent*, short, void* l) { static_cast<Link*>(l)->io.reset(); }, &link);
+    bufferevent_enable(link.io.get(), EV_READ | EV_WRITE);
+  }
+  void read(Link& link) {
+    while (link.io != nullptr) {
+      const auto input = exchange::pending_input(link.io.get());
+      exchange::consume_input(link.io.get(), link.parser.feed(input));
+      if (!link.parser.done()) return;
+      seen.push_back(link.parser.take());
+      last_ = &link;
+      send(&link, script(http::Message(seen.back())));
+    }
+  }
+  void send(Link* link, const std::string& text) {
+    const bool close = !text.empty() && text.front() == '!';
+    const std::string bytes = text.substr(close ? 1 : 0);
+    if (!close) {
+      bufferevent_write(link->io.get(), bytes.data(), bytes.size());
+      return;
+    }
+    [[maybe_unused]] const auto n = write(bufferevent_getfd(link->io.get()), bytes.data(), bytes.size());
+    link->io.reset();
+  }
+
+  event_base* base_;
+  evconnlistener* listener_ = nullptr;
+  std::vector<std::unique_ptr<Link>> links_;
+  Link* last_ = nullptr;
+};
+
+// A client: one connection, the answers as they come.
+class Client {
+ public:
+  Client(event_base* base, int port) : base_(base), io_(exchange::make_bufferevent(base, -1)) {
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    where.sin_port = htons(static_cast<std::uint16_t>(port));
+    bufferevent_setcb(
+        io_.get(), [](bufferevent*, void* c) { static_cast<Client*>(c)->read(); }, nullptr,
+        [](bufferevent*, short what, void* c) {
+          if ((what & BEV_EVENT_CONNECTED) == 0) static_cast<Client*>(c)->closed = true;
+        },
+        this);
+    bufferevent_socket_connect(io_.get(), reinterpret_cast<sockaddr*>(&where), sizeof where);
+    bufferevent_enable(io_.get(), EV_READ | EV_WRITE);
+  }
+  void send(const std::string& text) { bufferevent_write(io_.get(), text.data(), text.size()); }
+  void leave() { io_.reset(); }
+  // Sends and waits for one answer more; a status of 0: none came.
+  http::Message ask(const std::string& text) {
+    const std::size_t before = answers.size();
+    send(text);
+    run_until(base_, [&] { return answers.size() > before || closed; });
+    return answers.size() > before ? answers.back() : http::Message();
+  }
+
+  std::vector<http::Message> answers;
+  bool closed = false;
+
+ private:
+  void read() {
+    for (;;) {
+      exchange::consume_input(io_.get(), parser_.feed(exchange::pending_input(io_.get())));
+      if (!parser_.done()) return;
+      answers.push_back(parser_.take());
+    }
+  }
+  event_base* base_;
+  exchange::BuffereventPtr io_;
+  http::Parser parser_{http::Kind::Response};
+};
+
+inline std::string get(const std::string& path, const std::string& id, const std::string& headers = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id +
+         "\r\nX-Priority-Class: read\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 2000\r\n" + headers + "\r\n";
+}
+inline std::string put(const std::string& path, const std::string& id, const std::string& body) {
+  return "PUT " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id +
+         "\r\nX-Priority-Class: book\r\nIdempotency-Key: k-" + id +
+         "\r\nX-Timeout-Ms: 2000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline Json endpoint(const std::string& name, const std::string& address,
+                     const std::string& state = "in_service", const std::string& type = "cache") {
+  return {{"name", name}, {"address", address}, {"zone", "a"},   {"type", type},
+          {"group", 1},   {"status", state},    {"weight", 1.0}, {"since_ms", 0}};
+}
+inline Json node_list(int index, bool whole, const std::vector<Json>& endpoints) {
+  return {{"index", index}, {"snapshot", whole}, {"endpoints", endpoints}};
+}
+
+inline Json settings() {
+  return Json::parse(R"({"balancers": 1, "my_zone": 0, "tick": 1, "dcs": ["a"], "kinds": ["cache", "origin"],
+    "classes": [{"name": "read", "aim": 900, "give_up": 2000, "repeat": "safe", "worth": 1},
+                {"name": "book", "aim": 900, "give_up": 2000, "repeat": "keyed", "dedup_scope": "all",
+                 "window": 1000, "worth": 2}],
+    "parties": [{"name": "acme", "share": 1, "quota_per_s": 1000}],
+    "extra": {"mode": "aside", "origin_kind": 1},
+    "telemetry": {"via": "inline", "columns": ["queue", "latency_ms"]},
+    "limits": {"max_attempts": 4, "may_cancel": true, "may_duplicate": true, "retry_after": true,
+               "max_retry_after": 1500, "connect_timeout": 1000, "conn_idle": 20000},
+    "obligations": {"grace_to_answer": 20, "warm_after": 0, "start_capacity": 1, "tip_after": 2000}})");
+}
+inline Json config_json(const std::string& discovery, const Json& known) {
+  return {{"name", "n1"},
+          {"listen", "127.0.0.1:0"},
+          {"discovery", discovery},
+          {"seed", "8c1f30d27a5be964"},
+          {"known", known},
+          {"settings", settings()},
+          {"limits", {{"sockets", 256}}}};
+}
+inline const char* no_environment(const char*) { return nullptr; }
+
+// A router between a discovery, two caches and an origin, all scripted.
+struct World {
+  explicit World(const std::function<void(Json&)>& change = [](Json&) {}) {
+    Json file = config_json(discovery.address, node_list(7, true, all()));
+    change(file);
+    router = std::make_unique<router::Router>(config::parse(file.dump(), &no_environment), base.get());
+  }
+  std::vector<Json> all(const std::string& state = "in_service") {
+    return {endpoint("s-1", one.address, state), endpoint("s-2", two.address),
+            endpoint("o-1", origin.address, "in_service", "origin")};
+  }
+  bool until(const std::function<bool()>& done) { return run_until(base.get(), done); }
+  Client client() { return Client(base.get(), router->port()); }
+  std::size_t sent() const { return one.seen.size() + two.seen.size() + origin.seen.size(); }
+  void caches(const Peer::Script& script) { one.script = two.script = script; }
+  // Discovery tells; true once the router watches on from there.
+  bool tell(const Json& list) {
+    if (!until([this] { return watched(); })) return false;
+    const std::size_t before = discovery.seen.size();
+    discovery.say(ok(list.dump()));
+    return until([&] { return discovery.seen.size() > before; });
+  }
+  bool watched() const {
+    return !discovery.seen.empty() && discovery.seen.back().target.find("since=") != std::string::npos;
+  }
+
+  router::BasePtr base = router::make_base();
+  Peer discovery{base.get(), [this](const http::Message& m) {
+                   return m.target == "/v1/endpoints" ? ok(node_list(7, true, all()).dump()) : std::string();
+                 }};
+  Peer one{base.get(), [](const http::Message& m) { return ok("from cache " + m.target); }};
+  Peer two{base.get(), [](const http::Message& m) { return ok("from cache " + m.target); }};
+  Peer origin{base.get(), [](const http::Message& m) { return ok("from origin " + m.target); }};
+  std::unique_ptr<router::Router> router;
+};
+
+} // namespace fernward::tests
--- /dev/null
+++ b/tests/net/program_test.cpp
@@ -0,0 +1,209 @@
+// The program as it is started in service: its command line, its configuration, its signals, its limits.
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "peers.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+
+namespace {
+
+// A started program and what it has written to standard output and error.
+class Program {
+ public:
+  Program(const std::vector<std::string>& words, const Json& config, rlim_t files = 0) {
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    char path[] = "/tmp/fernward-test-XXXXXX";
+    const int file = mkstemp(path);
+    path_ = path;
+    std::ofstream(path_) << (config.is_string() ? config.get<std::string>() : config.dump());
+    close(file);
+    pid_ = fork();
+    if (pid_ == 0) {
+      dup2(ends[1], 1);
+      dup2(ends[1], 2);
+      for (int fd = 3; fd < 1024; ++fd) close(fd);
+      if (files > 0) {
+        const rlimit limit{files, files};
+        setrlimit(RLIMIT_NOFILE, &limit);
+      }
+      setenv("NODE_CONFIG", path_.c_str(), 1);
+      for (const char* name : {"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"}) unsetenv(name);
+      std::vector<char*> arguments = {const_cast<char*>(FERNWARD_PROGRAM)};
+      for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
+      arguments.push_back(nullptr);
+      execv(FERNWARD_PROGRAM, arguments.data());
+      _exit(127);
+    }
+    close(ends[1]);
+    out_ = ends[0];
+    fcntl(out_, F_SETFL, O_NONBLOCK);
+  }
+  ~Program() {
+    if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+    close(out_);
+    unlink(path_.c_str());
+  }
+  Program(const Program&) = delete;
+
+  void signal(int number) { kill(pid_, number); }
+  bool ended() { // its exit code is then in `code`, 128 and more for a signal
+    int status = 0;
+    if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+      code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+      pid_ = 0;
+    }
+    read_on();
+    return pid_ == 0;
+  }
+  bool says(const std::string& what) {
+    read_on();
+    return text.find(what) != std::string::npos;
+  }
+  int port() { // 0 until it serves
+    read_on();
+    const auto at = text.find(" serves on port ");
+    if (at == std::string::npos || text.find('\n', at) == std::string::npos) return 0;
+    return std::stoi(text.substr(at + 16));
+  }
+  std::string text;
+  int code = -1;
+
+ private:
+  void read_on() {
+    char bytes[4096];
+    for (ssize_t n; (n = read(out_, bytes, sizeof bytes)) > 0;)
+      text.append(bytes, static_cast<std::size_t>(n));
+  }
+  std::string path_;
+  pid_t pid_ = 0;
+  int out_ = -1;
+};
+
+bool wait_end(Program& program) {
+  const auto base = router::make_base();
+  return run_until(base.get(), [&] { return program.ended(); });
+}
+
+struct Service { // scripted peers for a started program
+  router::BasePtr base = router::make_base();
+  Peer discovery{base.get(), [](const http::Message&) { return std::string(); }};
+  Peer cache{base.get(), [](const http::Message& m) { return ok("v of " + m.target); }};
+  Json config() {
+    return config_json(discovery.address, node_list(1, true, {endpoint("s-1", cache.address)}));
+  }
+  int port(Program& program) {
+    run_until(base.get(), [&] { return program.port() != 0; });
+    return program.port();
+  }
+  bool until(const std::function<bool()>& done) { return run_until(base.get(), done); }
+};
+
+} // namespace
+
+TEST_CASE("the command line") {
+  const auto run = [](const std::vector<std::string>& words, const Json& config = Json::object()) {
+    Program program(words, config);
+    REQUIRE(wait_end(program));
+    return std::pair(program.code, program.text);
+  };
+  CHECK(run({"version"}).first == 0);
+  CHECK(run({"version"}).second.rfind("fernward ", 0) == 0);
+  CHECK(run({"--help"}).first == 0);
+  CHECK(run({}).first == 2);
+  CHECK(run({"fly"}).first == 2);
+  CHECK(run({"serve", "twice"}).first == 2);
+  CHECK(run({"--unheard-of"}).first == 2);
+  const Json sound = config_json("127.0.0.1:8500", nullptr);
+  CHECK(run({"check-config"}, sound).first == 0);
+  Json faulty = sound;
+  faulty["settings"]["limits"]["max_attempts"] = "five";
+  for (const char* command : {"check-config", "serve"}) { // one line that names the key
+    const auto [code, text] = run({command}, faulty);
+    CHECK(code == 1);
+    CHECK(text.find("settings.limits.max_attempts") != std::string::npos);
+    CHECK(std::count(text.begin(), text.end(), '\n') == 1);
+  }
+  CHECK(run({"serve"}, "{").first == 1);
+}
+
+TEST_CASE("an address that is taken ends the start with a word about it") {
+  Service s;
+  Json config = s.config();
+  config["listen"] = s.cache.address;
+  Program program({"serve"}, config);
+  REQUIRE(wait_end(program));
+  CHECK(program.code == 1);
+  CHECK(program.text.find("listen") != std::string::npos);
+}
+
+TEST_CASE("SIGTERM: all that was taken is answered, then it ends with 0") { // guards: planned restarts
+  Service s;
+  s.cache.script = [](const http::Message&) { return std::string(); };
+  Program program({"serve"}, s.config());
+  Client client(s.base.get(), s.port(program));
+  client.send(get("/k/1", "r1"));
+  REQUIRE(s.until([&] { return s.cache.seen.size() == 1; }));
+  program.signal(SIGTERM);
+  Client late(s.base.get(), program.port());
+  REQUIRE(
+      s.until([&] { return program.text.find("winds down") != std::string::npos || program.port() < 0; }));
+  s.cache.say(ok("in time"));
+  REQUIRE(s.until([&] { return program.ended(); }));
+  CHECK(program.code == 0);
+  REQUIRE(client.answers.size() == 1);
+  CHECK(client.answers[0].body == "in time");
+  CHECK_FALSE(client.answers[0].keep_alive);
+}
+
+TEST_CASE("killed and started again it serves at once from the known list, discovery silent") {
+  Service s;
+  Json config = s.config();
+  for (int life = 0; life < 2; ++life) {
+    Program program({"serve"}, config);
+    Client client(s.base.get(), s.port(program));
+    CHECK(client.ask("GET /ready HTTP/1.1\r\n\r\n").status == 200);
+    CHECK(client.ask(get("/k/1", std::to_string(life))).body == "v of /k/1");
+    config["listen"] = "127.0.0.1:" + std::to_string(program.port()); // the same address again
+    program.signal(SIGKILL);
+    REQUIRE(s.until([&] { return program.ended(); }));
+    CHECK(program.code == 128 + SIGKILL);
+  }
+}
+
+TEST_CASE(
+    "out of descriptors it goes on serving, and does not spin on accept") { // guards: a full CPU, a crash
+  Service s;
+  Program program({"serve"}, s.config(), 24); // far fewer than its configuration promises
+  const int port = s.port(program);
+  Client first(s.base.get(), port);
+  CHECK(first.ask(get("/k/1", "a")).status == 200);
+  {
+    std::vector<std::unique_ptr<Client>> crowd;
+    for (int i = 0; i < 60; ++i) crowd.push_back(std::make_unique<Client>(s.base.get(), port));
+    REQUIRE(s.until(
+        [&] { return program.port() != 0 && program.text.find("accept failed") != std::string::npos; }));
+    run_for(s.base.get(), 300);
+    program.port(); // reads on
+    std::size_t lines = 0;
+    for (auto at = program.text.find("accept failed"); at != std::string::npos;
+         at = program.text.find("accept failed", at + 1)) {
+      ++lines;
+    }
+    CHECK(lines < 50);
+    CHECK(first.ask(get("/k/1", "b")).status == 200);
+  }
+  Client after(s.base.get(), port); // the crowd has left
+  CHECK(after.ask(get("/k/1", "c")).status == 200);
+  program.signal(SIGTERM);
+  REQUIRE(s.until([&] { return program.ended(); }));
+  CHECK(program.code == 0);
+}
--- /dev/null
+++ b/tests/net/stories_test.cpp
@@ -0,0 +1,347 @@
+// Stories of the router over loopback sockets against scripted peers: one for each failure that was met or that
+// the protocol warns of. No story needs tight timing.
+#include <doctest/doctest.h>
+
+#include "peers.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+using brookroad::Result;
+
+TEST_CASE("a hit: what was asked is passed on unchanged, and so is what was answered") {
+  World w;
+  w.caches(
+      [](const http::Message&) { return ok("value", "Content-Type: text/x\r\nX-Server-Load: queue=1\r\n"); });
+  Client client = w.client();
+  const auto answer = client.ask(get("/api/7f3a?day=2&x=%20", "9b1f"));
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "value");
+  CHECK(answer.header("content-type") == "text/x");
+  REQUIRE(w.one.seen.size() + w.two.seen.size() == 1);
+  const auto& seen = w.one.seen.empty() ? w.two.seen[0] : w.one.seen[0];
+  CHECK(seen.method == "GET");
+  CHECK(seen.target == "/api/7f3a?day=2&x=%20");
+  CHECK(seen.header("x-request-id") == "9b1f");
+  CHECK(seen.header("idempotency-key").empty());
+  CHECK(std::stoi(std::string(seen.header("x-timeout-ms"))) <= 2000);
+  CHECK(std::stoi(std::string(seen.header("x-timeout-ms"))) > 0);
+}
+
+TEST_CASE("a miss goes to the origin, on connections that are used again") { // guards: a connection a request
+  World w;
+  w.caches([](const http::Message&) { return kMiss; });
+  Client client = w.client();
+  for (int i = 0; i < 20; ++i) {
+    CHECK(client.ask(get("/k/" + std::to_string(i), std::to_string(i))).body ==
+          "from origin /k/" + std::to_string(i));
+  }
+  CHECK(w.origin.seen.size() == 20);
+  CHECK(w.origin.connections == 1);
+  CHECK(w.one.connections <= 1);
+  CHECK(w.two.connections <= 1);
+}
+
+TEST_CASE("a write goes to the origin, with its key and its body") {
+  World w;
+  Client client = w.client();
+  const std::string value("v\0\r\n\xff", 5); // any bytes
+  CHECK(client.ask(put("/k/1", "w1", value)).body == "from origin /k/1");
+  REQUIRE(w.origin.seen.size() == 1);
+  CHECK(w.origin.seen[0].method == "PUT");
+  CHECK(w.origin.seen[0].body == value);
+  CHECK(w.origin.seen[0].header("idempotency-key") == "k-w1");
+  CHECK(w.one.seen.size() + w.two.seen.size() == 0);
+}
+
+TEST_CASE("what never ran is asked elsewhere: refused connections and requests turned away") {
+  World w;
+  SUBCASE("refused") { w.one.refuse(); }
+  SUBCASE("turned away") {
+    w.one.script = [](const http::Message&) { return kTurnedAway; };
+  }
+  Client client = w.client();
+  for (int i = 0; i < 10; ++i)
+    CHECK(client.ask(get("/k/" + std::to_string(i), std::to_string(i))).status == 200);
+}
+
+TEST_CASE("a write whose connection breaks after it was sent is not refused as if it had not run") {
+  World
+      w; // keyed, dropped by all: it may be repeated, and a refusal is harmless, but nothing is served of it
+  w.origin.script = [](const http::Message&) { return std::string("!"); };
+  Client client = w.client();
+  const auto answer = client.ask(put("/k/1", "w1", "v"));
+  CHECK(answer.status >= 500);
+  CHECK(w.origin.seen.size() <= 4); // max_attempts
+  for (const auto& seen : w.origin.seen) CHECK(seen.header("idempotency-key") == "k-w1");
+}
+
+TEST_CASE("an answer that was cut off is never passed on") { // guards: invented or shortened values
+  World w;
+  const Peer::Script cut = [](const http::Message&) {
+    return std::string("!HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  };
+  w.caches(cut);
+  w.origin.script = cut;
+  Client client = w.client();
+  const auto answer = client.ask(get("/k/1", "r1"));
+  CHECK(answer.status >= 500);
+  CHECK(answer.body.find("half") == std::string::npos);
+}
+
+TEST_CASE(
+    "a pooled connection that its target has closed is not written to") { // guards: resets of what could run
+  World w;
+  Client client = w.client();
+  CHECK(client.ask(get("/k/1", "r1")).status == 200);
+  const std::size_t before = w.sent();
+  w.one.hang_up();
+  w.two.hang_up();
+  CHECK(client.ask(get("/k/1", "r2")).status == 200);
+  CHECK(w.sent() == before + 1); // one attempt sufficed
+}
+
+TEST_CASE(
+    "bytes that nobody asked for end an idle connection") { // guards: answers handed to the wrong request
+  World w;
+  Client client = w.client();
+  CHECK(client.ask(get("/k/1", "r1")).status == 200);
+  Peer& cache = w.one.seen.empty() ? w.two : w.one;
+  cache.say(ok("of nobody"));
+  CHECK(w.until([&] { return cache.open() == 0; }));
+  CHECK(client.ask(get("/k/1", "r2")).body == "from cache /k/1");
+}
+
+TEST_CASE("a draining target gets nothing new, and its idle connections end") { // guards: the third rule
+  World w;
+  Client client = w.client();
+  for (int i = 0; i < 20; ++i) client.ask(get("/k/" + std::to_string(i), std::to_string(i)));
+  REQUIRE_FALSE(w.one.seen.empty());
+  REQUIRE(w.tell(node_list(8, false, {endpoint("s-1", w.one.address, "terminating")})));
+  CHECK(w.until([&] { return w.one.open() == 0; }));
+  const std::size_t before = w.one.seen.size();
+  for (int i = 0; i < 20; ++i)
+    CHECK(client.ask(get("/k/" + std::to_string(i), "d" + std::to_string(i))).status == 200);
+  CHECK(w.one.seen.size() == before);
+}
+
+TEST_CASE("a watch is asked again at once, from the version it told") { // guards: a watch that lapses
+  World w;
+  REQUIRE(w.tell(node_list(9, false, {})));
+  CHECK(w.discovery.seen.back().target.find("since=9&") != std::string::npos);
+  CHECK(w.discovery.connections == 1);
+}
+
+TEST_CASE("damaged discovery: the last list stays, and the whole one is asked for") {
+  World w;
+  REQUIRE(w.until([&] { return w.watched(); }));
+  SUBCASE("not JSON") { w.discovery.say(ok("<html>")); }
+  SUBCASE("not HTTP") { w.discovery.say("garbage\r\n\r\n"); }
+  SUBCASE("a status") { w.discovery.say(status(500)); }
+  SUBCASE("cut off") { w.discovery.say("!HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"); }
+  const std::size_t before = w.discovery.seen.size();
+  CHECK(w.until([&] { return w.discovery.seen.size() > before; }));
+  Client client = w.client();
+  CHECK(client.ask(get("/k/1", "r1")).status == 200);
+}
+
+TEST_CASE("not ready before there is a usable list; then ready") {
+  World w([](Json& file) { file["known"] = node_list(1, true, {}); });
+  w.discovery.script = [](const http::Message&) { return std::string(); }; // silent at first
+  Client client = w.client();
+  CHECK(client.ask("GET /ready HTTP/1.1\r\n\r\n").status == 503);
+  REQUIRE(w.until([&] { return !w.discovery.seen.empty(); }));
+  w.discovery.say(ok(node_list(2, true, w.all()).dump()));
+  REQUIRE(w.until([&] { return w.watched(); }));
+  CHECK(client.ask("GET /ready HTTP/1.1\r\n\r\n").status == 200);
+}
+
+TEST_CASE("silence everywhere: the client is told in time when to come back") { // guards: the first rule
+  World w;
+  w.caches([](const http::Message&) { return std::string(); });
+  w.origin.script = [](const http::Message&) { return std::string(); };
+  Client client = w.client();
+  const double asked = exchange::now_ms();
+  const auto answer = client.ask(get("/k/1", "r1"));
+  CHECK(answer.status == 503);
+  CHECK(std::stod("0" + std::string(answer.header("retry-after"))) > 0);
+  CHECK(exchange::now_ms() - asked < 2070); // its deadline, the grace and the slack on sockets
+}
+
+TEST_CASE("a client that leaves takes its attempt along") { // guards: exchanges and connections that leak
+  World w;
+  w.caches([](const http::Message&) { return std::string(); });
+  Client client = w.client();
+  client.send(get("/k/1", "r1"));
+  REQUIRE(w.until([&] { return w.sent() > 0; }));
+  CHECK(w.router->driver().unanswered() == 1);
+  client.leave();
+  CHECK(w.until([&] { return w.one.open() + w.two.open() == 0; })); // an answer was due: never pooled
+  CHECK(w.router->driver().unanswered() == 0);
+  CHECK(w.router->driver().open_attempts() == 0);
+}
+
+TEST_CASE("two requests in one write are answered in their order") {
+  World w;
+  Client client = w.client();
+  client.send(get("/k/1", "r1") + get("/k/2", "r2"));
+  CHECK(w.until([&] { return client.answers.size() == 2; }));
+  CHECK(client.answers.at(0).body == "from cache /k/1");
+  CHECK(client.answers.at(1).body == "from cache /k/2");
+}
+
+TEST_CASE("bad input is answered, ends the connection and goes no further") {
+  World w;
+  const auto request = [](const std::string& headers) { return "GET /k HTTP/1.1\r\n" + headers + "\r\n"; };
+  const std::vector<std::pair<std::string, int>> table = {
+      {"nonsense\r\n\r\n", 400},
+      {request("X-Priority-Class: read\r\n"), 400},
+      {request("X-Request-ID: r\r\nX-Priority-Class: unheard-of\r\n"), 400},
+      {request("X-Request-ID: r\r\nX-Priority-Class: read\r\nX-Timeout-Ms: soon\r\n"), 400},
+      {"PUT /k HTTP/1.1\r\nX-Request-ID: r\r\nX-Priority-Class: book\r\nContent-Length: 1\r\n\r\nv",
+       400}, // no key
+      {"DELETE /k HTTP/1.1\r\nX-Request-ID: r\r\nX-Priority-Class: read\r\n\r\n", 405},
+      {"PUT /k HTTP/1.1\r\nContent-Length: 65537\r\n\r\n" + std::string(65537, 'x'), 413},
+      {request("A: " + std::string(70000, 'a') + "\r\n"), 431},
+  };
+  for (const auto& [text, code] : table) {
+    Client client = w.client();
+    CAPTURE(text.substr(0, 60));
+    CHECK(client.ask(text).status == code);
+    CHECK(w.until([&] { return client.closed; }));
+  }
+  CHECK(w.sent() == 0);
+}
+
+TEST_CASE("a full exchange table sheds by itself, with advice") {
+  World w([](Json& file) { file["settings"]["limits"]["open_cap"] = 1; });
+  w.caches([](const http::Message&) { return std::string(); });
+  Client first = w.client(), second = w.client();
+  first.send(get("/k/1", "r1"));
+  REQUIRE(w.until([&] { return w.router->driver().unanswered() == 1; }));
+  const auto answer = second.ask(get("/k/1", "r2"));
+  CHECK(answer.status == 503);
+  CHECK_FALSE(answer.header("retry-after").empty());
+}
+
+TEST_CASE("a full table of client connections makes room among the idle") { // guards: locked-out clients
+  World w([](Json& file) { file["limits"]["sockets"] = 64; });              // 9 client connections
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 30; ++i) {
+    clients.push_back(std::make_unique<Client>(w.base.get(), w.router->port()));
+    CHECK(clients.back()->ask(get("/k/1", std::to_string(i))).status == 200);
+  }
+}
+
+TEST_CASE("winding down: what was taken is answered, and each connection ends with its answer") {
+  World w;
+  std::string held;
+  w.caches([](const http::Message&) { return std::string(); });
+  Client busy = w.client(), idle = w.client();
+  CHECK(idle.ask("GET /ready HTTP/1.1\r\n\r\n").status == 200);
+  busy.send(get("/k/1", "r1"));
+  REQUIRE(w.until([&] { return w.sent() > 0; }));
+  Peer& cache = w.one.seen.empty() ? w.two : w.one;
+  w.router->wind_down();
+  Client late = w.client(); // clients still come
+  CHECK(late.ask("GET /ready HTTP/1.1\r\n\r\n").status == 503);
+  cache.say(ok("late"));
+  REQUIRE(w.until([&] { return busy.closed && idle.closed && late.closed; }));
+  REQUIRE(busy.answers.size() == 1);
+  CHECK(busy.answers[0].body == "late");
+  CHECK_FALSE(busy.answers[0].keep_alive);
+}
+
+// ---- the pool of egress connections on its own ----
+
+namespace {
+
+struct PoolWorld {
+  explicit PoolWorld(std::size_t most = 10) {
+    egress::PoolOptions options;
+    options.most = most;
+    pool = std::make_unique<egress::Pool>(
+        base.get(), deadlines, options,
+        [this](exchange::Handle, exchange::Ending e) { endings.push_back(e.result); });
+    list("in_service");
+  }
+  void list(const std::string& state) {
+    table.apply(node_list(1, true, {endpoint("s-1", peer.address, state)}));
+    pool->update(table.targets());
+  }
+  auto start(exchange::Handle attempt) {
+    auto call = std::make_shared<exchange::Call>();
+    call->target = "/k/" + std::to_string(attempt);
+    call->id = "r";
+    return pool->start(attempt, routes::id_of("s-1"), call, exchange::now_ms() + 5000);
+  }
+  router::BasePtr base = router::make_base();
+  exchange::Deadlines deadlines{base.get()};
+  routes::Table table{{}, {}};
+  std::vector<Result> endings;
+  Peer peer{base.get(), [](const http::Message&) { return ok("v"); }};
+  std::unique_ptr<egress::Pool> pool;
+};
+
+using Start = exchange::EgressSide::Start;
+
+} // namespace
+
+TEST_CASE("a connection that comes up after its target drained sends nothing") { // guards: the third rule
+  PoolWorld w;
+  REQUIRE(w.start(1) == Start::Begun);
+  w.list("terminating"); // before the loop has seen the connection come up
+  CHECK(run_until(w.base.get(), [&] { return !w.endings.empty(); }));
+  CHECK(w.endings.at(0) == Result::ConnectFailed);
+  CHECK(w.start(2) == Start::NoTarget);
+  run_for(w.base.get(), 30);
+  CHECK(w.peer.seen.empty());
+}
+
+TEST_CASE("a connection that comes up after its attempt was given up sends nothing, and serves the next") {
+  PoolWorld w;
+  REQUIRE(w.start(1) == Start::Begun);
+  w.pool->cancel(1);
+  REQUIRE(w.start(2) == Start::Begun);
+  CHECK(run_until(w.base.get(), [&] { return !w.endings.empty(); }));
+  REQUIRE(w.peer.seen.size() == 1);
+  CHECK(w.peer.seen[0].target == "/k/2");
+  CHECK(w.peer.connections == 1);
+}
+
+TEST_CASE(
+    "a given-up attempt's connection never serves another") { // guards: the late answer of the one before
+  PoolWorld w;
+  w.peer.script = [](const http::Message&) { return std::string(); };
+  REQUIRE(w.start(1) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return w.peer.seen.size() == 1; }));
+  w.pool->cancel(1);
+  CHECK(w.pool->connections() == 0);
+  CHECK(w.endings.empty()); // the driver knows
+  REQUIRE(w.start(2) == Start::Begun);
+  CHECK(run_until(w.base.get(), [&] { return w.peer.connections == 2; }));
+}
+
+TEST_CASE("a full pool is told, not waited for") {
+  PoolWorld w(1);
+  w.peer.script = [](const http::Message&) { return std::string(); };
+  REQUIRE(w.start(1) == Start::Begun);
+  CHECK(w.start(2) == Start::Full);
+  REQUIRE(run_until(w.base.get(), [&] { return w.peer.seen.size() == 1; }));
+  w.peer.say(ok("v"));
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 1; }));
+  CHECK(w.start(3) == Start::Begun); // on the same connection
+  CHECK(w.pool->opened() == 1);
+}
+
+TEST_CASE("a silent break is a reset, as it may have run; an early answer ends the connection") {
+  PoolWorld w;
+  w.peer.script = [](const http::Message&) { return std::string("!"); };
+  REQUIRE(w.start(1) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 1; }));
+  CHECK(w.endings[0] == Result::Reset);
+  w.peer.script = [](const http::Message&) { return ok("v") + "more"; };
+  REQUIRE(w.start(2) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 2; }));
+  CHECK(w.endings[1] == Result::Ok);
+  CHECK(w.pool->connections() == 0); // bytes behind the answer: not pooled
+}
