Tests that their guards could be removed under now fail; a lost watch asks for the whole list

Each guard was taken out in turn: the stories of the stale connection, the client that leaves and the damaged list had gone on passing. Stale: the scripted peer closed its socket from the loop only, so the router saw the end first; now it shuts it down at once. Client: the module's own aim ended the exchange; now only the leaving can. List: the target of the next question is checked. A watch that ends in any way now starts over with the whole list, not only after damage.

--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -80,7 +80,6 @@
     index_ = take_(answer.body);
   } catch (const Damaged& damage) {
     log::line("route table: discovery's answer is damaged, the last list stays: %s", damage.what());
-    index_.reset(); // what the damage hid is in the whole list
     return fail("damaged");
   }
   ++answers_;
@@ -94,6 +93,7 @@
   log::line("discovery connection ended: code=%s answers=%llu", code,
             static_cast<unsigned long long>(answers_));
   connection_.reset();
+  index_.reset(); // what was missed meanwhile is in the whole list
   backoff_ms_ = std::clamp(2 * backoff_ms_, kFirstBackoffMs, kMaxBackoffMs);
   wait(backoff_ms_, [this] { connect(); });
 }
--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -3,6 +3,7 @@
 
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <deque>
 #include <functional>
@@ -69,7 +70,12 @@
   Peer(const Peer&) = delete;
 
   void say(const std::string& text) { send(last_, text); } // on the connection of the last request
-  void hang_up() { links_.clear(); }
+  void hang_up() { // at once: libevent would close the sockets from the loop only
+    for (const auto& link : links_) {
+      if (link->io != nullptr) shutdown(bufferevent_getfd(link->io.get()), SHUT_RDWR);
+    }
+    links_.clear();
+  }
   void refuse() { // from now on connections are refused
     evconnlistener_free(std::exchange(listener_, nullptr));
     hang_up();
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -142,7 +142,8 @@
   SUBCASE("a status") { w.discovery.say(status(500)); }
   SUBCASE("cut off") { w.discovery.say("!HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"); }
   const std::size_t before = w.discovery.seen.size();
-  CHECK(w.until([&] { return w.discovery.seen.size() > before; }));
+  REQUIRE(w.until([&] { return w.discovery.seen.size() > before; }));
+  CHECK(w.discovery.seen[before].target == "/v1/endpoints");
   Client client = w.client();
   CHECK(client.ask(get("/k/1", "r1")).status == 200);
 }
@@ -171,10 +172,13 @@
 }
 
 TEST_CASE("a client that leaves takes its attempt along") { // guards: exchanges and connections that leak
-  World w;
+  World w([](Json& file) { // so patient that only the client's leaving can end it in the time of a test
+    file["settings"]["classes"][0]["aim"] = file["settings"]["classes"][0]["give_up"] = 100000;
+  });
   w.caches([](const http::Message&) { return std::string(); });
   Client client = w.client();
-  client.send(get("/k/1", "r1"));
+  const std::string patient = "X-Timeout-Ms: 100000\r\n";
+  client.send("GET /k/1 HTTP/1.1\r\nX-Request-ID: r1\r\nX-Priority-Class: read\r\n" + patient + "\r\n");
   REQUIRE(w.until([&] { return w.sent() > 0; }));
   CHECK(w.router->driver().unanswered() == 1);
   client.leave();
@@ -324,6 +328,18 @@
   CHECK(run_until(w.base.get(), [&] { return w.peer.connections == 2; }));
 }
 
+TEST_CASE(
+    "a connection that ended unnoticed is not written to") { // guards: resets where a new one would serve
+  PoolWorld w;
+  REQUIRE(w.start(1) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 1; }));
+  w.peer.hang_up();
+  REQUIRE(w.start(2) == Start::Begun); // before the loop has seen the end
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 2; }));
+  CHECK(w.endings[1] == Result::Ok);
+  CHECK(w.peer.connections == 2);
+}
+
 TEST_CASE("a full pool is told, not waited for") {
   PoolWorld w(1);
   w.peer.script = [](const http::Message&) { return std::string(); };
