--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -795,8 +795,8 @@
     if (o.out == 0) done.push_back(o.in.id);
   }
 
-  // Refuses where the promise that a further try is harmless holds, else fails. `stay_away`: it is crowded; else
-  // this request had bad luck, and a slow answer's time is enough for what it met to pass.
+  // Refuses where the promise that a further try is harmless holds, else fails. `stay_away`: it is crowded;
+  // else this request had bad luck, and a slow answer's time is enough for what it met to pass.
   void conclude(Open& o, bool stay_away = false) {
     const ClassSettings& c = set.classes[o.in.cls];
     const bool clean = o.out == 0 && !o.maybe_ran;
