--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,11 +1,10 @@
 #include "config/config.h"
 
-#include <arpa/inet.h>
-
 #include <charconv>
 #include <fstream>
 #include <sstream>
 
+#include "config/address.h"
 #include "config/read.h"
 
 namespace fernward::config {
@@ -22,7 +21,9 @@
   const std::string named = value.empty() ? key : variable;
   if (value.empty()) file.read(key, value);
   if (value.empty()) throw Error(std::string(key) + ": is missing (as is " + variable + ")");
-  if (!is_address(value)) throw Error(named + ": \"" + value + "\" is no address of the form 10.0.0.4:7070");
+  sockaddr_in where{};
+  if (!parse_address(value, where))
+    throw Error(named + ": \"" + value + "\" is no address of the form 10.0.0.4:7070");
   return value;
 }
 
@@ -41,16 +42,6 @@
 
 } // namespace
 
-bool is_address(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  in_addr host{};
-  std::uint16_t port = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-  return inet_pton(AF_INET, text.substr(0, colon).c_str(), &host) == 1 && error == std::errc() && stop == end;
-}
-
 Config parse(const std::string& text, Lookup environment) {
   Part file;
   try {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -22,6 +22,5 @@
 
 Config load(Lookup environment);                           // throws Error
 Config parse(const std::string& text, Lookup environment); // the file's text; throws Error
-bool is_address(const std::string& address);               // an IPv4 "host:port"
 
 } // namespace fernward::config
--- a/src/exchange/net.cpp
+++ b/src/exchange/net.cpp
@@ -1,29 +1,14 @@
 #include "exchange/net.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
-#include <charconv>
 #include <new>
 
 namespace fernward::exchange {
 
-bool parse_address(const std::string& text, sockaddr_in& into) {
-  into = {};
-  into.sin_family = AF_INET;
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  std::uint16_t port = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-  into.sin_port = htons(port);
-  return inet_pton(AF_INET, text.substr(0, colon).c_str(), &into.sin_addr) == 1 && error == std::errc() &&
-         stop == end;
-}
-
 void set_nodelay(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
--- a/src/exchange/net.h
+++ b/src/exchange/net.h
@@ -2,10 +2,8 @@
 #pragma once
 
 #include <event2/bufferevent.h>
-#include <netinet/in.h>
 
 #include <memory>
-#include <string>
 #include <string_view>
 
 namespace fernward::exchange {
@@ -15,7 +13,6 @@
 };
 using BuffereventPtr = std::unique_ptr<bufferevent, BuffereventFree>;
 
-bool parse_address(const std::string& text, sockaddr_in& into); // IPv4 "host:port"
 void set_nodelay(int fd);
 
 enum class Peek { Quiet, Data, Closed };
--- a/src/ingress/listener.cpp
+++ b/src/ingress/listener.cpp
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <stdexcept>
 
+#include "config/address.h"
 #include "ingress/codec.h"
 #include "log/log.h"
 
@@ -34,7 +35,7 @@
       calls_(std::move(calls)),
       connections_(options.most) {
   sockaddr_in where{};
-  if (!exchange::parse_address(options.address, where)) {
+  if (!config::parse_address(options.address, where)) {
     throw std::runtime_error("listen: no address: " + options.address);
   }
   listener_.reset(evconnlistener_new_bind(base, &Listener::accepted, this,
--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-#include "exchange/net.h"
+#include "config/address.h"
 #include "log/log.h"
 
 namespace fernward::routes {
@@ -41,7 +41,7 @@
                        : status == "terminated" ? ServerState::Gone
                                                 : ServerState::Draining;
   if (target.name.empty()) throw Damaged("an endpoint without a name");
-  if (!exchange::parse_address(target.address, target.where) && target.entry.state != ServerState::Gone) {
+  if (!config::parse_address(target.address, target.where) && target.entry.state != ServerState::Gone) {
     throw Damaged("endpoint " + target.name + ": no address: " + target.address);
   }
   target.entry.id = id_of(target.name);
--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "config/address.h"
 #include "log/log.h"
 #include "routes/table.h"
 
@@ -32,7 +33,7 @@
 
 void Watch::connect() {
   sockaddr_in where{};
-  exchange::parse_address(address_, where); // checked when the configuration was read
+  config::parse_address(address_, where); // checked when the configuration was read
   connection_ = exchange::make_bufferevent(base_, -1);
   parser_ = http::Parser(http::Kind::Response);
   up_ = false;
