--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -376,3 +376,23 @@
   CHECK(w.endings[1] == Result::Ok);
   CHECK(w.pool->connections() == 0); // bytes behind the answer: not pooled
 }
+
+TEST_CASE(
+    "a request that the module passes over is answered as failed at its deadline") { // guards: the first rule
+  struct Clients : exchange::ClientSide {
+    void answer(exchange::Handle, const exchange::Answer& answer) override { kinds.push_back(answer.kind); }
+    std::vector<exchange::Answer::Kind> kinds;
+  } clients;
+  PoolWorld w;
+  const auto config = config::parse(config_json("127.0.0.1:1", nullptr).dump(), &no_environment);
+  exchange::Driver driver(w.base.get(), w.deadlines, fernward::Balancer(config.settings, 1), config.settings,
+                          {});
+  driver.attach(clients, *w.pool);
+  exchange::Call call;
+  call.category = 99; // the module knows no such class, and says nothing
+  call.timeout_ms = 50;
+  REQUIRE(driver.open(1, call) != 0);
+  CHECK(run_until(w.base.get(), [&] { return driver.unanswered() == 0; }));
+  REQUIRE(clients.kinds.size() == 1);
+  CHECK(clients.kinds[0] == exchange::Answer::Kind::Failed);
+}
