fernward-lab cost and relay: the cost table from the one program

The lab had a program of its own for the table of docs/performance.md, which a user of fernward-lab did not find. It is a sub-command now, with checked options, and the relay that it measures beside can be run by itself.

--- a/lab/commands/command.h
+++ b/lab/commands/command.h
@@ -34,6 +34,8 @@
 int report_command(const Arguments& arguments);
 int try_command(const Arguments& arguments);
 int keys_command(const Arguments& arguments);
+int cost_command(const Arguments& arguments);
+int relay_command(const Arguments& arguments);
 
 // ---- command lines ----
 
--- /dev/null
+++ b/lab/commands/cost.cpp
@@ -0,0 +1,97 @@
+// fernward-lab cost: what the router costs beside a bare relay of bytes, the table of docs/performance.md.
+// fernward-lab relay: that relay by itself.
+#include <algorithm>
+#include <cstdio>
+
+#include "lab/commands/command.h"
+#include "lab/cost/cost.h"
+#include "lab/relay/relay.h"
+
+namespace fernward::lab {
+namespace {
+
+double median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+// "14,200,1000"; the delimiter of cxxopts is taken, see command.h.
+std::vector<std::uint32_t> counts_of(const cxxopts::ParseResult& parsed, const std::string& option) {
+  std::vector<std::uint32_t> counts;
+  for (const std::uint64_t count : parse_seeds(parsed[option].as<std::string>())) {
+    if (count == 0 || count > 1'000'000) throw UsageError("--" + option + " takes counts from 1 to 1000000");
+    counts.push_back(static_cast<std::uint32_t>(count));
+  }
+  return counts;
+}
+
+} // namespace
+
+int cost_command(const Arguments& arguments) {
+  cxxopts::Options options("fernward-lab cost",
+                           "CPU of a request through the router, beside a bare relay of bytes, both at once "
+                           "before the same stand-ins. Ends with 1 where a run was void");
+  options.add_options()("program",
+                        "The router; without it the `fernward` beside this program, or on the PATH",
+                        cxxopts::value<std::string>())(
+      "targets", "Cache nodes", cxxopts::value<std::string>()->default_value("14,200,1000"))(
+      "keys", "Keys, all asked for alike", cxxopts::value<std::string>()->default_value("100,10000"))(
+      "rate", "Requests a second, of both together", cxxopts::value<double>()->default_value("2000"))(
+      "seconds", "Measured in each run", cxxopts::value<double>()->default_value("5"))(
+      "rounds", "Runs of each; the median is told", cxxopts::value<int>()->default_value("3"));
+  const auto parsed = parse(options, arguments);
+  const int rounds = parsed["rounds"].as<int>();
+  if (rounds < 1 || rounds > 1000) throw UsageError("--rounds must be from 1 to 1000");
+  const double rate = parsed["rate"].as<double>(), seconds = parsed["seconds"].as<double>();
+  if (!(rate >= 10 && rate <= 20000)) throw UsageError("--rate must be from 10 to 20000");
+  if (!(seconds >= 2 && seconds <= 600)) throw UsageError("--seconds must be from 2 to 600");
+  const auto key_counts = counts_of(parsed, "keys");
+  bool is_void = false;
+  std::printf(
+      "| targets | keys | router, us | relay, us | ratio | least to most | router's memory, MB |\n"
+      "| --- | --- | --- | --- | --- | --- | --- |\n");
+  for (const std::uint32_t targets : counts_of(parsed, "targets")) {
+    for (const std::uint32_t keys : key_counts) {
+      std::vector<double> router, relay, ratio, memory;
+      for (int round = 0; round < rounds; ++round) {
+        CostOptions cost;
+        cost.program = parsed.count("program") > 0 ? parsed["program"].as<std::string>() : shipped_router();
+        cost.relay = {"/proc/self/exe", "relay"};
+        cost.targets = targets;
+        cost.keys = keys;
+        cost.rate_per_s = rate;
+        cost.measured_s = seconds;
+        cost.seed = static_cast<std::uint64_t>(round) + 1;
+        const CostResult result = measure_cost(cost);
+        for (const auto& why : result.info.why_void) std::fprintf(stderr, "void: %s\n", why.c_str());
+        is_void = is_void || result.info.is_void;
+        router.push_back(result.router.us());
+        relay.push_back(result.relay.us());
+        ratio.push_back(result.ratio());
+        memory.push_back(result.router.memory_mb);
+      }
+      std::printf("| %u | %u | %.0f | %.0f | %.2f | %.2f to %.2f | %.1f |\n", targets, keys, median(router),
+                  median(relay), median(ratio), *std::min_element(ratio.begin(), ratio.end()),
+                  *std::max_element(ratio.begin(), ratio.end()), median(memory));
+      std::fflush(stdout);
+    }
+  }
+  return is_void ? kBad : kWell;
+}
+
+int relay_command(const Arguments& arguments) {
+  cxxopts::Options options(
+      "fernward-lab relay",
+      "A bare relay of bytes: each connection is joined to one of its own towards a target, in "
+      "turn. Without --listen it takes address and cache nodes from the file that NODE_CONFIG "
+      "names, as a router would. SIGTERM ends it");
+  options.add_options()("listen", "An address, such as 127.0.0.1:7001", cxxopts::value<std::string>())(
+      "target", "An address; may be given again", cxxopts::value<std::vector<std::string>>());
+  const auto parsed = parse(options, arguments);
+  const bool listens = parsed.count("listen") > 0, has_target = parsed.count("target") > 0;
+  if (listens != has_target) throw UsageError("--listen and --target go together");
+  if (!listens) return rig::relay_as_router();
+  return rig::relay(parsed["listen"].as<std::string>(), parsed["target"].as<std::vector<std::string>>());
+}
+
+} // namespace fernward::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -27,6 +27,8 @@
     {"compare", "play it two ways over the same seeds: which is better?", &compare_command},
     {"report", "draw the page of a run again", &report_command},
     {"keys", "print every key of a scenario", &keys_command},
+    {"cost", "what the router costs beside a bare relay of bytes", &cost_command},
+    {"relay", "that relay by itself", &relay_command},
 };
 
 int usage(std::FILE* out, int code) {
