--- a/include/fernward/choice.h
+++ b/include/fernward/choice.h
@@ -39,6 +39,9 @@
   Scope scope = Scope::Zone;
   double window_ms = 0; // keyed: how long repeats are discarded
   bool stream = false;
+  std::uint32_t max_attempts =
+      0;                     // of one request; 0: as Settings::max_attempts says, which bounds it in any case
+  bool may_duplicate = true; // where Settings::may_duplicate allows it
 };
 
 struct TenantSettings {
@@ -69,6 +72,14 @@
   double warm_after_ms = 0;  // a started server is warm after this
   double start_capacity = 1; // and starts at this share of its capacity or more
   double tip_after_ms = 0;   // overloaded this long, a cold server falls over
+
+  std::uint32_t attempts_of(std::uint32_t cls) const {
+    const std::uint32_t own = cls < classes.size() ? classes[cls].max_attempts : 0;
+    return own > 0 && own < max_attempts ? own : max_attempts;
+  }
+  bool copies_of(std::uint32_t cls) const {
+    return may_duplicate && (cls >= classes.size() || classes[cls].may_duplicate);
+  }
 };
 
 // Throws std::invalid_argument, naming the field, for settings that can't hold.
@@ -210,6 +221,11 @@
   Balancer(Balancer&&) noexcept;
   Balancer& operator=(Balancer&&) noexcept;
 
+  // Goes on under other settings; open requests keep their deadlines. Classes and tenants keep their numbers, and new
+  // ones may follow them; nodes, zone, kinds, reports and how lists are told stay. Throws std::invalid_argument, and
+  // nothing has changed.
+  void change(const Settings& settings);
+
   // Takes one event that occurs at `now`; appends what to do about it.
   void on(double now, const Event& event, std::vector<Action>& actions);
 
--- a/lab/commands/command.h
+++ b/lab/commands/command.h
@@ -10,22 +10,19 @@
 #include <string>
 #include <vector>
 
-// A --set may hold a list: commas are its own.
-#define CXXOPTS_VECTOR_DELIMITER '\x1f'
-#include <cxxopts.hpp>
-
+#include "arguments/arguments.h"
 #include "lab/experiment/play.h"
+#include "lab/rig/rig.h"
 #include "lab/scenario/read.h"
 
 namespace fernward::lab {
 
-inline constexpr int kWell = 0, kBad = 1, kUsage = 2;
-
-struct UsageError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-using Arguments = std::vector<std::string>; // after the sub-command's name
+using arguments::Arguments;
+using arguments::kBad;
+using arguments::kUsage;
+using arguments::kWell;
+using arguments::parse;
+using arguments::UsageError;
 
 int check_command(const Arguments& arguments);
 int run_command(const Arguments& arguments);
@@ -39,10 +36,6 @@
 
 // ---- command lines ----
 
-// Throws UsageError, and Help where help was asked for and printed.
-struct Help {};
-cxxopts::ParseResult parse(cxxopts::Options& options, const Arguments& arguments);
-
 // "1..8", "3" or "1,4,9".
 std::vector<std::uint64_t> parse_seeds(const std::string& text);
 
@@ -53,13 +46,14 @@
 struct Playing { // what the options of run, sweep and compare say alike
   DriverKind driver = DriverKind::Virtual;
   std::string program; // sockets: the router
+  RouterRole role = RouterRole::Platform;
   bool unlimited = false;
   std::string logs; // sockets: the folder for what routers say
   Offer offer() const { return driver == DriverKind::Virtual ? offer_virtual() : offer_sockets(); }
 };
 void add_playing(cxxopts::Options& options);
-// `also`: an option that, where it is given, goes before --driver.
-Playing playing_of(const cxxopts::ParseResult& parsed, const std::string& also = "");
+// `side`: of compare, "a" or "b": its own options go before the common ones.
+Playing playing_of(const cxxopts::ParseResult& parsed, const std::string& side = "");
 
 std::unique_ptr<Driver> make_driver(const Playing& playing);
 double slack_of(const Playing& playing, const model::Spec& spec);
--- a/lab/commands/compare.cpp
+++ b/lab/commands/compare.cpp
@@ -50,6 +50,8 @@
       "program-b", "sockets: the router of B", cxxopts::value<std::string>())(
       "driver-a", "In place of --driver for A", cxxopts::value<std::string>())(
       "driver-b", "In place of --driver for B", cxxopts::value<std::string>())(
+      "role-a", "In place of --role for A", cxxopts::value<std::string>())(
+      "role-b", "In place of --role for B", cxxopts::value<std::string>())(
       "seeds", "1..8 or 1,4,9", cxxopts::value<std::string>()->default_value("1..8"))(
       "jobs", "Runs at once in virtual time; 0: one for each core",
       cxxopts::value<unsigned>()->default_value("0"))("out", "A folder for compare.json",
@@ -64,7 +66,7 @@
   Side a, b;
   for (Side* side : {&a, &b}) {
     const std::string name = side == &a ? "a" : "b";
-    side->playing = playing_of(parsed, "driver-" + name);
+    side->playing = playing_of(parsed, name);
     if (parsed.count("set") > 0) side->settings = parsed["set"].as<std::vector<std::string>>();
     if (parsed.count("set-" + name) > 0) {
       const auto own = parsed["set-" + name].as<std::vector<std::string>>();
@@ -82,8 +84,9 @@
     side->kept.resize(seeds.size());
   }
   if (a.settings == b.settings && a.playing.program == b.playing.program &&
-      a.playing.driver == b.playing.driver) {
-    throw UsageError("A and B are alike: give --set-a, --set-b, --program-a, --program-b or --driver-b");
+      a.playing.driver == b.playing.driver && a.playing.role == b.playing.role) {
+    throw UsageError(
+        "A and B are alike: give --set-a, --set-b, --program-a, --program-b, --driver-b or --role-b");
   }
   for (Side* side : {&a, &b}) {
     auto [scenario, sound] = load_scenario(path, side->settings, side->playing);
--- a/lab/commands/support.cpp
+++ b/lab/commands/support.cpp
@@ -33,25 +33,6 @@
 
 } // namespace
 
-cxxopts::ParseResult parse(cxxopts::Options& options, const Arguments& arguments) {
-  options.add_options()("h,help", "Print this help");
-  std::vector<const char*> argv{options.program().c_str()};
-  for (const std::string& argument : arguments) argv.push_back(argument.c_str());
-  try {
-    auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
-    if (parsed.count("help") > 0) {
-      std::printf("%s", options.help().c_str());
-      throw Help();
-    }
-    if (!parsed.unmatched().empty()) throw UsageError("too many words: " + parsed.unmatched().front());
-    return parsed;
-  } catch (const UsageError&) {
-    throw;
-  } catch (const std::exception& error) { // the base class of cxxopts' own has changed its name
-    throw UsageError(error.what());
-  }
-}
-
 std::vector<std::uint64_t> parse_seeds(const std::string& text) {
   std::vector<std::uint64_t> seeds;
   if (const std::size_t dots = text.find(".."); dots != std::string::npos) {
@@ -75,13 +56,28 @@
                         cxxopts::value<std::string>()->default_value("virtual"))(
       "program", "sockets: the router; without it the `fernward` beside this program, or on the PATH",
       cxxopts::value<std::string>())("unlimited-memory", "sockets: routers over their memory are left alone")(
-      "logs", "sockets: a folder for what the routers say", cxxopts::value<std::string>());
+      "logs", "sockets: a folder for what the routers say", cxxopts::value<std::string>())(
+      "role",
+      "sockets: how routers are told: platform (JSON), application (its file) or sidecar (beside a program "
+      "that does "
+      "nothing)",
+      cxxopts::value<std::string>()->default_value("platform"));
 }
 
-Playing playing_of(const cxxopts::ParseResult& parsed, const std::string& also) {
+Playing playing_of(const cxxopts::ParseResult& parsed, const std::string& side) {
   Playing playing;
-  const bool own = !also.empty() && parsed.count(also) > 0;
-  const std::string driver = parsed[own ? also : "driver"].as<std::string>();
+  const auto given = [&](const std::string& option) {
+    const std::string own = option + "-" + side;
+    return parsed[!side.empty() && parsed.count(own) > 0 ? own : option].as<std::string>();
+  };
+  const bool own = !side.empty() && parsed.count("driver-" + side) > 0;
+  const std::string driver = given("driver"), role = given("role");
+  if (role != "platform" && role != "application" && role != "sidecar") {
+    throw UsageError("--role must be platform, application or sidecar, not \"" + role + "\"");
+  }
+  playing.role = role == "platform"      ? RouterRole::Platform
+                 : role == "application" ? RouterRole::Application
+                                         : RouterRole::Sidecar;
   if (driver != "virtual" && driver != "sockets") {
     throw UsageError("--driver must be virtual or sockets, not \"" + driver + "\"");
   }
@@ -113,6 +109,7 @@
   options.program = playing.program;
   options.log_directory = playing.logs;
   options.check_memory = !playing.unlimited;
+  options.role = playing.role;
   return make_rig_driver(std::move(options));
 }
 
--- a/lab/rig/config.cpp
+++ b/lab/rig/config.cpp
@@ -3,6 +3,8 @@
 #include <cstdio>
 
 #include "lab/peers/replies.h"
+#include "notation/writer.h"
+#include "setup/keys.h"
 
 namespace fernward::rig {
 
@@ -125,4 +127,66 @@
           {"settings", settings_json(stage.spec, stage.plan, router)}};
 }
 
+std::string router_toml(const Stage& stage, RouterId router, std::uint32_t moves, std::uint64_t seed,
+                        const std::string& runtime_folder) {
+  const model::Spec& spec = stage.spec;
+  const std::uint32_t zone = stage.plan.routers[router].zone;
+  const Settings s = model::router_settings(spec, zone);
+  setup::App app;
+  app.name = stage.plan.routers[router].name;
+  app.listen = text_of(stage.addresses.router(router));
+  app.seed = seed >> 1; // TOML's whole numbers have a sign
+  app.fleet.zones.clear();
+  for (const auto& z : spec.zones) app.fleet.zones.push_back(z.name);
+  app.fleet.zone = zone;
+  for (const auto& kind : spec.kinds) app.fleet.kinds.push_back({kind.name});
+  if (s.origin_kind >= 0) {
+    app.fleet.ledger = static_cast<std::uint32_t>(app.fleet.kinds.size());
+    app.fleet.kinds.push_back({model::kOriginKindName});
+  }
+  app.fleet.discovery = text_of(stage.addresses.agent(router, moves));
+  app.fleet.warm_after_ms = s.warm_after_ms;
+  app.fleet.start_capacity = s.start_capacity;
+  app.fleet.tip_after_ms = s.tip_after_ms;
+  app.fleet.weights = static_cast<std::size_t>(s.weight_kind);
+  for (std::size_t i = 0; i < s.classes.size(); ++i) {
+    const ClassSettings& from = s.classes[i];
+    setup::ClassSetup& c = app.classes.emplace_back();
+    c.name = spec.classes[i].name;
+    c.aim_ms = from.aim_ms;
+    c.give_up_ms = from.give_up_ms;
+    c.aim_stretch = from.aim_stretch;
+    c.late_share = from.late_share;
+    c.worth = from.worth;
+    c.repeat = from.repeat;
+    c.scope = from.scope;
+    c.window_ms = from.repeat == Repeat::Keyed ? from.window_ms : 0;
+    c.write = spec.classes[i].write;
+    c.traffic = spec.classes[i].share;
+  }
+  for (std::size_t i = 0; i < s.tenants.size(); ++i) {
+    app.tenants.push_back({spec.tenants[i].name, s.tenants[i].share, s.tenants[i].quota_per_s});
+  }
+  app.attempts.most = s.max_attempts;
+  app.attempts.cancel = s.may_cancel;
+  app.attempts.copies = s.may_duplicate;
+  app.attempts.retry_after_ms = s.retry_advice ? s.max_retry_after_ms : 0;
+  app.attempts.connect_ms = spec.routers.connect_timeout_ms;
+  app.attempts.idle_ms = spec.routers.conn_idle_ms;
+  app.limits.sockets = spec.routers.sockets;
+  app.limits.memory_mb = spec.routers.memory_mb;
+  app.limits.open = spec.routers.open_cap;
+  app.limits.grace_ms = spec.routers.grace_to_answer_ms;
+  for (const ReportField field : s.report_fields) {
+    // What the router does not read has a place all the same.
+    app.reports.fields.push_back(std::min(static_cast<std::size_t>(field), std::size_t{6}));
+  }
+  app.tier.routers = s.nodes;
+  app.tier.over_share_worth = s.over_share_worth;
+  app.tier.tick_ms = s.tick_ms;
+  app.application.runtime_folder = runtime_folder;
+  const setup::AppNames names(app);
+  return notation::written(names, [&](notation::Visitor& v) { describe(v, app); });
+}
+
 } // namespace fernward::rig
--- a/lab/rig/rig.h
+++ b/lab/rig/rig.h
@@ -25,8 +25,13 @@
   std::uint32_t descriptors = 0;
 };
 
+// How a router is started and told: by the platform's JSON, or by an application's file, alone or beside an application
+// that does nothing.
+enum class RouterRole { Platform, Application, Sidecar };
+
 struct RigOptions {
-  std::string program = "fernward";    // started as `program serve`
+  std::string program = "fernward"; // started as `program serve`, or as the role says
+  RouterRole role = RouterRole::Platform;
   std::vector<RouterProgram> programs; // by router, where it is not that
   std::string log_directory;           // r0.log, ... with what the routers say; empty: nowhere
   double late_p99_ms = 5;              // a run is void beyond this, for sends and for stand-ins' answers
--- a/lab/rig/routers.cpp
+++ b/lab/rig/routers.cpp
@@ -79,9 +79,13 @@
 }
 
 void Routers::write_config(Router& router) {
-  const std::string path = directory_ + "/" + stage_.plan.routers[router.id].name + ".json";
+  const bool json = options_.role == lab::RouterRole::Platform;
+  const std::string path =
+      directory_ + "/" + stage_.plan.routers[router.id].name + (json ? ".json" : ".toml");
   std::ofstream file(path + ".new", std::ios::trunc);
-  file << router.config.dump();
+  file << (json ? router.config.dump()
+                : router_toml(stage_, router.id, moves_, model::mix(stage_.spec.seed, router.id, router.life),
+                              directory_));
   file.close();
   // In one go: a router that reads it at this moment finds the old one or the new one.
   std::error_code fault;
@@ -107,10 +111,20 @@
   ProgramStart start;
   start.id = r;
   const bool own = r < options_.programs.size() && !options_.programs[r].command.empty();
-  start.command = own ? options_.programs[r].command : std::vector<std::string>{options_.program, "serve"};
+  const std::string file = directory_ + "/" + place.name + ".toml";
+  if (own) {
+    start.command = options_.programs[r].command;
+  } else if (options_.role == lab::RouterRole::Platform) {
+    start.command = {options_.program, "serve"};
+  } else if (options_.role == lab::RouterRole::Application) {
+    start.command = {options_.program, "serve", "--config", file};
+  } else {
+    start.command = {options_.program, "sidecar", "--config", file, "--", "sleep", "1000000"};
+  }
   start.environment = {"NODE_NAME=" + place.name, "NODE_LISTEN=" + text_of(stage_.addresses.router(r)),
                        "NODE_DISCOVERY=" + text_of(stage_.addresses.agent(r, moves_)),
                        "NODE_CONFIG=" + directory_ + "/" + place.name + ".json", "TMPDIR=" + directory_};
+  if (options_.role != lab::RouterRole::Platform) start.environment = {"TMPDIR=" + directory_};
   start.descriptors = stage_.spec.routers.sockets;
   start.output = ends[1];
   guardian_.start(start);
--- /dev/null
+++ b/lab/scenario/names.cpp
@@ -0,0 +1,122 @@
+#include "lab/scenario/names.h"
+
+#include <array>
+#include <charconv>
+
+namespace fernward::lab {
+
+using notation::Table;
+
+namespace {
+
+struct About {
+  const char *what, *written, *list, *hint;
+};
+constexpr std::array<About, 7> kAbout{
+    {{"zone", "a zone's name", "zones", ""},
+     {"kind of node", "a kind's name", "kinds", ""},
+     {"group of nodes", "a group's name", "nodes", ""},
+     {"node", "nodes, `GROUP-0`", "nodes", ": they are called GROUP-0, GROUP-1, ..."},
+     {"router", "routers, `r0`", "routers.groups", ": they are called r0, r1, ..."},
+     {"class", "a class's name", "classes", ""},
+     {"tenant", "a tenant's name", "tenants", ""}}};
+
+const About& about(Table table) { return kAbout.at(static_cast<std::size_t>(table)); }
+
+template <typename T>
+std::optional<std::uint32_t> find_name(const std::vector<T>& table, const std::string& name) {
+  for (std::size_t i = 0; i < table.size(); ++i) {
+    if (table[i].name == name) return static_cast<std::uint32_t>(i);
+  }
+  return std::nullopt;
+}
+
+template <typename T>
+std::vector<std::string> names(const std::vector<T>& table) {
+  std::vector<std::string> all;
+  for (const T& item : table) all.push_back(item.name);
+  return all;
+}
+
+std::optional<std::uint32_t> whole_number(std::string_view text) {
+  std::uint32_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
+// GROUP-i, numbered as model/plan.h says.
+std::optional<std::uint32_t> find_node(const std::string& name, const model::Spec& spec) {
+  const std::size_t dash = name.rfind('-');
+  if (dash == std::string::npos) return std::nullopt;
+  const auto number = whole_number(std::string_view(name).substr(dash + 1));
+  if (!number) return std::nullopt;
+  std::uint64_t first = 0;
+  for (const model::NodeGroup& g : spec.nodes) {
+    const std::uint64_t all = std::uint64_t{g.count} + g.standby;
+    if (g.name == name.substr(0, dash) && *number < all && first + *number < 0xffffffffu) {
+      return static_cast<std::uint32_t>(first + *number);
+    }
+    first += all;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint32_t> find_router(const std::string& name, const model::Spec& spec) {
+  if (!name.starts_with('r')) return std::nullopt;
+  std::uint64_t all = 0;
+  for (const model::RouterGroup& g : spec.routers.groups) all += g.count;
+  const auto number = whole_number(std::string_view(name).substr(1));
+  return number && *number < all ? number : std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::uint32_t> SpecNames::find(Table table, const std::string& name) const {
+  switch (table) {
+    case tables::Zones: return find_name(spec_.zones, name);
+    case tables::Kinds: return find_name(spec_.kinds, name);
+    case tables::Groups: return find_name(spec_.nodes, name);
+    case tables::Classes: return find_name(spec_.classes, name);
+    case tables::Tenants: return find_name(spec_.tenants, name);
+    case tables::Nodes: return find_node(name, spec_);
+    case tables::Routers: return find_router(name, spec_);
+  }
+  return std::nullopt;
+}
+
+std::vector<std::string> SpecNames::known(Table table) const {
+  switch (table) {
+    case tables::Zones: return names(spec_.zones);
+    case tables::Kinds: return names(spec_.kinds);
+    case tables::Groups: return names(spec_.nodes);
+    case tables::Classes: return names(spec_.classes);
+    case tables::Tenants: return names(spec_.tenants);
+    default: return {};
+  }
+}
+
+std::string SpecNames::name(Table table, std::uint32_t index) const {
+  const auto at = [&](const auto& items) { return index < items.size() ? items[index].name : std::string(); };
+  switch (table) {
+    case tables::Zones: return at(spec_.zones);
+    case tables::Kinds: return at(spec_.kinds);
+    case tables::Groups: return at(spec_.nodes);
+    case tables::Classes: return at(spec_.classes);
+    case tables::Tenants: return at(spec_.tenants);
+    case tables::Routers: return std::string("r").append(std::to_string(index));
+    case tables::Nodes:
+      for (const model::NodeGroup& g : spec_.nodes) {
+        if (index < g.count + g.standby) return g.name + "-" + std::to_string(index);
+        index -= g.count + g.standby;
+      }
+  }
+  return "";
+}
+
+const char* SpecNames::what(Table table) const { return about(table).what; }
+const char* SpecNames::written(Table table) const { return about(table).written; }
+const char* SpecNames::list(Table table) const { return about(table).list; }
+const char* SpecNames::hint(Table table) const { return about(table).hint; }
+
+} // namespace fernward::lab
--- a/lab/scenario/read.h
+++ b/lab/scenario/read.h
@@ -6,28 +6,18 @@
 #pragma once
 
 #include <filesystem>
-#include <functional>
-#include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "model/spec.h"
+#include "notation/document.h"
 
 namespace fernward::lab {
 
-struct Position {
-  std::string file;
-  unsigned line = 1, column = 1;
-};
-
-struct Fault {
-  Position at;
-  std::string key, why;
-
-  std::string text() const; // "day.toml:12:8: load.rate: has no unit: ..."
-};
+using notation::Fault;
+using notation::Loader;
+using notation::Position;
 
 // What the machine can offer to a run; more is a fault.
 struct Offer {
@@ -39,15 +29,12 @@
 
 struct Scenario {
   model::Spec spec; // may be played where `faults` is empty
-  std::vector<Fault> faults;
-  std::map<std::string, Position> places; // of what the file gives, by the Spec's member
+  notation::Faults faults;
+  notation::Places places; // of what the file gives, by the Spec's member
 
   bool sound() const { return faults.empty(); }
 };
 
-// The text of a base file; none: it can't be read.
-using Loader = std::function<std::optional<std::string>(const std::filesystem::path&)>;
-
 Scenario read_scenario(std::string_view text, const std::string& file, const Offer& offer = {},
                        const Loader& load = {});
 Scenario read_scenario_file(const std::filesystem::path& path, const Offer& offer = {});
--- a/lab/scenario/set.cpp
+++ b/lab/scenario/set.cpp
@@ -2,12 +2,15 @@
 #include <algorithm>
 
 #include "lab/scenario/read.h"
+#include "lab/scenario/schema.h"
 #include "lab/scenario/sound.h"
-#include "lab/scenario/value.h"
+#include "notation/value.h"
 
 namespace fernward::lab {
 namespace {
 
+using namespace notation;
+
 // "kinds[fast].cores" -> kinds, [fast], cores: an index is a step of its own.
 std::vector<std::string> steps_of(const std::string& path) {
   std::vector<std::string> steps{""};
@@ -26,10 +29,10 @@
 class Setter : public Visitor {
  public:
   Setter(const model::Spec& spec, const std::string& path, const toml::node& value)
-      : spec_(spec), steps_(steps_of(path)), value_(value) {}
+      : names_(spec), steps_(steps_of(path)), value_(value) {}
 
   bool found = false;
-  std::string why; // it could not be set
+  notation::Why why; // it could not be set
 
   void amount(const char* member, double& value, Unit unit, const char*, Word word) override {
     leaf(member, value, [&](const toml::node& n) { return take_amount(n, unit, word, why); });
@@ -43,6 +46,9 @@
   void text(const char* member, std::string& value, bool, const char*) override {
     leaf(member, value, [&](const toml::node& n) { return take_text(n, why); });
   }
+  void texts(const char* member, std::vector<std::string>& values, const char*) override {
+    many(member, values, [&](const toml::node& n) { return take_text(n, why); });
+  }
   void flag(const char* member, bool& value, const char*) override {
     leaf(member, value, [&](const toml::node& n) { return take_flag(n, why); });
   }
@@ -50,7 +56,7 @@
   void choice(const char* member, std::size_t& value, Words words, bool needed, const char*) override {
     if (needed && hit(member)) {
       found = true;
-      why = "can't be set here";
+      why = {"value", "can't be set here"};
       return;
     }
     leaf(member, value, [&](const toml::node& n) { return take_choice(n, words, why); });
@@ -59,10 +65,10 @@
     many(member, values, [&](const toml::node& n) { return take_choice(n, words, why); });
   }
   void ref(const char* member, std::uint32_t& value, Table table, bool, const char*) override {
-    leaf(member, value, [&](const toml::node& n) { return take_ref(n, table, spec_, why); });
+    leaf(member, value, [&](const toml::node& n) { return take_ref(n, table, names_, why); });
   }
   void refs(const char* member, std::vector<std::uint32_t>& values, Table table, const char*) override {
-    many(member, values, [&](const toml::node& n) { return take_ref(n, table, spec_, why); });
+    many(member, values, [&](const toml::node& n) { return take_ref(n, table, names_, why); });
   }
   bool present(const char* member, bool now) override { return now || hit(member); }
   void enter(const char* member, const char*) override { step(key_of(member)); }
@@ -75,6 +81,9 @@
     }
   }
   std::size_t list(const char*, std::size_t size, const char*) override { return size; }
+  std::vector<std::string> named(const char*, std::vector<std::string> names, const char*) override {
+    return names;
+  }
   void item(const char* member, std::size_t index, const std::string& name) override {
     const std::string& wanted = depth_ + 1 < steps_.size() ? steps_[depth_ + 1] : steps_[0];
     const bool this_one =
@@ -109,7 +118,7 @@
     found = true;
     const toml::array* array = value_.as_array();
     if (!array) {
-      why = "must be a list in [brackets]";
+      why = {"type", "must be a list in [brackets]"};
       return;
     }
     values.clear();
@@ -118,22 +127,13 @@
     }
   }
 
-  const model::Spec& spec_;
+  const SpecNames names_;
   const std::vector<std::string> steps_;
   const toml::node& value_;
   std::size_t depth_ = 0; // steps that match so far
   std::size_t off_ = 0;   // parts entered that are off the path
 };
 
-// As TOML would have it, or else as text: 820/s needs no quotes on a command line.
-toml::table value_of(const std::string& text) {
-  try {
-    return toml::parse("value = " + text);
-  } catch (const toml::parse_error&) {
-    return toml::table{{"value", text}};
-  }
-}
-
 } // namespace
 
 void set_values(Scenario& scenario, const std::vector<std::string>& settings, const Offer& offer) {
@@ -159,7 +159,7 @@
     Setter setter(scenario.spec, path, *node);
     describe(setter, scenario.spec);
     if (!setter.found) fault("there is no such key in this scenario");
-    if (!setter.why.empty()) fault(setter.why);
+    if (!setter.why.text.empty()) fault(setter.why.text);
   }
   // What was sound may not be any more; what was not, has its faults already.
   if (scenario.sound() && !settings.empty()) {
--- a/src/config/address.cpp
+++ b/src/config/address.cpp
@@ -1,8 +1,10 @@
 #include "config/address.h"
 
 #include <arpa/inet.h>
+#include <sys/un.h>
 
 #include <charconv>
+#include <string_view>
 
 namespace fernward::config {
 
@@ -19,4 +21,11 @@
          stop == end;
 }
 
+std::optional<std::string> unix_path(const std::string& text) {
+  constexpr std::string_view prefix = "unix:/";
+  if (!text.starts_with(prefix) || text.size() - prefix.size() + 1 >= sizeof(sockaddr_un::sun_path))
+    return std::nullopt;
+  return text.substr(prefix.size() - 1);
+}
+
 } // namespace fernward::config
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "config/address.h"
@@ -24,7 +25,7 @@
   if (value.empty()) file.read(key, value);
   if (value.empty()) throw Error(std::string(key) + ": is missing (as is " + variable + ")");
   sockaddr_in where{};
-  if (!parse_address(value, where))
+  if (!parse_address(value, where) && !(named == "listen" && unix_path(value)))
     throw Error(named + ": \"" + value + "\" is no address of the form 10.0.0.4:7070");
   return value;
 }
@@ -42,6 +43,28 @@
   return seed;
 }
 
+std::vector<Mapping> mappings(const Part& file) {
+  std::vector<Mapping> all;
+  for (const Part& entry : file.list("map")) {
+    Mapping& m = all.emplace_back();
+    entry.need("path", m.path);
+    entry.read("method", m.method);
+    entry.read("class", m.cls);
+    entry.read("tenant", m.tenant);
+    entry.range("timeout", m.timeout_ms);
+  }
+  return all;
+}
+
+LogRules log_rules(const Part& part) {
+  LogRules rules;
+  rules.json = part.word("format") == "json";
+  part.read("connections", rules.connections);
+  part.range("per_second", rules.per_second);
+  part.range("burst", rules.burst);
+  return rules;
+}
+
 Config parse_file(const std::string& text, Lookup environment, bool again) {
   Part file;
   try {
@@ -56,7 +79,15 @@
   if (config.name.empty()) file.read("name", config.name);
   if (config.name.empty()) config.name = "fernward";
   config.listen = address(file, "listen", environment, "NODE_LISTEN");
-  config.discovery = address(file, "discovery", environment, "NODE_DISCOVERY", again);
+  file.read("nodes_file", config.nodes_file);
+  file.read("nodes_fixed", config.nodes_fixed);
+  if (config.nodes_file.empty() && !config.nodes_fixed) {
+    config.discovery = address(file, "discovery", environment, "NODE_DISCOVERY", again);
+  }
+  config.map = mappings(file);
+  file.read("make_ids", config.make_ids);
+  config.log = log_rules(file.part("log"));
+  file.read("movable", config.movable);
   config.seed = seed_of(file);
   const Part limits = file.part("limits");
   if (limits.json.contains("sockets")) limits.count("sockets", config.sockets);
@@ -102,6 +133,75 @@
 Config load(Lookup environment) { return parse_file(read_file(environment), environment, false); }
 Config reload(Lookup environment) { return parse_file(read_file(environment), environment, true); }
 
+namespace {
+
+// `now` with what is new in `next` behind it; what `next` has no more keeps its number, under a name that no header can
+// carry. `place`: of each of the result its number in `next`, or none.
+std::vector<std::string> merged(const std::vector<std::string>& now, const std::vector<std::string>& next,
+                                std::vector<std::optional<std::size_t>>& place) {
+  std::vector<std::string> all;
+  for (const std::string& name : now) {
+    const auto found = std::find(next.begin(), next.end(), name);
+    place.push_back(found == next.end()
+                        ? std::nullopt
+                        : std::optional<std::size_t>(static_cast<std::size_t>(found - next.begin())));
+    all.push_back(found == next.end() ? "\n" + name : name);
+  }
+  for (std::size_t i = 0; i < next.size(); ++i) {
+    if (std::find(now.begin(), now.end(), next[i]) != now.end()) continue;
+    // One that was left out before and is back has its old number.
+    const auto back = std::find(all.begin(), all.end(), "\n\n" + next[i]);
+    if (back != all.end()) {
+      *back = next[i];
+      place[static_cast<std::size_t>(back - all.begin())] = i;
+      continue;
+    }
+    all.push_back(next[i]);
+    place.push_back(i);
+  }
+  for (std::string& name : all) {
+    if (name.starts_with("\n\n")) name.erase(0, 1); // left out for longer
+  }
+  return all;
+}
+
+// What a reload may move, by its path in the platform's form.
+bool may_move(const std::string& path) {
+  for (const char* part :
+       {"/map", "/make_ids", "/log", "/nodes_file", "/nodes_fixed", "/settings/classes", "/settings/parties",
+        "/settings/limits/max_attempts", "/settings/limits/may_cancel", "/settings/limits/may_duplicate",
+        "/settings/limits/retry_after", "/settings/limits/max_retry_after", "/settings/over_share_worth"}) {
+    if (path == part || path.starts_with(std::string(part) + "/")) return true;
+  }
+  return false;
+}
+
+} // namespace
+
+Config moved(const Config& now, Config next) {
+  for (const auto& change : nlohmann::json::diff(now.fixed, next.fixed)) {
+    std::string path = change.at("path").get<std::string>();
+    if (may_move(path)) continue;
+    std::replace(path.begin(), path.end(), '/', '.');
+    throw Error(path.substr(1) + ": holds until the next start");
+  }
+  std::vector<std::optional<std::size_t>> place;
+  next.names.classes = merged(now.names.classes, next.names.classes, place);
+  std::vector<fernward::ClassSettings> classes;
+  for (std::size_t i = 0; i < place.size(); ++i) {
+    classes.push_back(place[i] ? next.settings.classes[*place[i]] : now.settings.classes[i]);
+  }
+  next.settings.classes = std::move(classes);
+  place.clear();
+  next.names.tenants = merged(now.names.tenants, next.names.tenants, place);
+  std::vector<fernward::TenantSettings> tenants;
+  for (std::size_t i = 0; i < place.size(); ++i) {
+    tenants.push_back(place[i] ? next.settings.tenants[*place[i]] : fernward::TenantSettings());
+  }
+  next.settings.tenants = std::move(tenants);
+  return next;
+}
+
 std::vector<std::string> refused_changes(const Config& before, const Config& after) {
   std::vector<std::string> keys;
   for (const auto& change : nlohmann::json::diff(before.fixed, after.fixed)) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,8 +9,20 @@
 
 namespace fernward::config {
 
+// How the log is written.
+struct LogRules {
+  bool json = false, connections = true;
+  double per_second = 100, burst = 300;
+};
+
+// Where nodes are told: by discovery, by a file that is watched, or once for all in `known`.
 struct Config {
-  std::string name, listen, discovery;
+  std::string name, listen, discovery, nodes_file;
+  bool nodes_fixed = false;
+  std::vector<Mapping> map;
+  bool make_ids = false; // for requests without X-Request-ID
+  LogRules log;
+  bool movable = false; // a reload may change more than `discovery`: see moved()
   std::uint64_t seed = 1;
   std::uint32_t sockets = 1024, memory_mb = 192;
   std::uint32_t answer_bytes = 16 << 20;  // the longest answer that is passed on
@@ -33,6 +45,11 @@
 // The file read again: its `discovery` goes before the environment, which can't change while the program runs.
 Config reload(Lookup environment); // throws Error
 
+// Of a configuration that is `movable`: `next` as it can be taken by a router that runs under `now`. Classes and tenants
+// keep their numbers; one that `next` has no more stays, and no request can name it. Throws Error for the first key that
+// can't change while the router runs; nothing of `next` may count then.
+Config moved(const Config& now, Config next);
+
 // The keys, by path, in which a file read again differs from the one before and that a reload can't change.
 std::vector<std::string> refused_changes(const Config& before, const Config& after);
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -31,6 +31,8 @@
   from.range("worth", cls.worth);
   from.range("window", cls.window_ms);
   from.read("stream", cls.stream);
+  if (from.json.contains("max_attempts")) from.count("max_attempts", cls.max_attempts, 1);
+  from.read("may_duplicate", cls.may_duplicate);
   std::string repeat;
   from.need("repeat", repeat);
   // An unknown word gets the strictest meaning.
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -23,6 +23,13 @@
 struct Names {
   std::vector<std::string> classes, tenants, zones, kinds, report_fields;
 };
+// What a request is that does not say so in its headers; the first that fits counts.
+struct Mapping {
+  std::string path;        // that its path begins with
+  std::string method;      // empty: any
+  std::string cls, tenant; // empty: not said
+  double timeout_ms = 0;   // 0: not said
+};
 struct Limits {
   double connect_timeout_ms = 250;
   double conn_idle_ms = 15000;
--- a/src/egress/pool.cpp
+++ b/src/egress/pool.cpp
@@ -93,8 +93,7 @@
     if (fd >= 0 || tries == 2) return fd;
     const double now = now_ms();
     if (account_.refused(now)) {
-      log::line("descriptors refused by the system: %zu of %zu in use, places go back to the limit by and by",
-                account_.usable(now), account_.total());
+      log::line("descriptors-refused", {{"in_use", account_.usable(now)}, {"of", account_.total()}});
     }
     if (!let_go("table-full") && !recall_()) return -1;
   }
@@ -541,8 +540,8 @@
 
 // The connection is gone on return.
 void Pool::close(Connection& c, const char* code) {
-  log::routine("egress connection ended: target=%s code=%s answers=%u ms=%.0f", c.name.c_str(), code,
-               c.served, now_ms() - c.opened_at);
+  log::routine("egress-ended",
+               {{"target", c.name}, {"code", code}, {"answers", c.served}, {"ms", now_ms() - c.opened_at}});
   deadlines_.cancel(c.ticket);
   unpool(c);
   make_busy(c);
--- a/src/exchange/driver.cpp
+++ b/src/exchange/driver.cpp
@@ -141,14 +141,18 @@
 
 void Driver::list(fernward::ServerList list) { enqueue(std::move(list)); }
 
+void Driver::change(const fernward::Settings& settings) {
+  balancer_.change(settings);
+  settings_ = settings;
+}
+
 void Driver::overdue(Handle exchange) {
   Exchange* x = exchanges_.find(exchange);
   if (x == nullptr || x->over) return;
   x->guard = 0;
   // Of a body that came sooner than it might have, the module does not know.
   if (x->call->body_ms == 0)
-    log::line("exchange overdue: id=%s attempts=%zu, answered as failed", x->call->id.c_str(),
-              x->attempts.size());
+    log::line("exchange-overdue", {{"id", x->call->id}, {"attempts", x->attempts.size()}});
   Answer answer; // failed
   finish(exchange, &answer);
   enqueue(fernward::ClientGone{exchange});
@@ -191,7 +195,7 @@
     const std::uint64_t token = timer->token;
     deadlines_.at(loop::now_ms() + timer->delay_ms, [this, token] { enqueue(fernward::TimerFired{token}); });
   } else if (const auto* said = std::get_if<fernward::Log>(&action)) {
-    log::line("module: %s", said->text.c_str());
+    log::line("module", {{"says", said->text}});
   } else if (std::get_if<fernward::Watch>(&action) != nullptr) {
     // The route table is always watched: the call is answered at once, with no changes.
     enqueue(fernward::ServerList{fernward::ListKind::Delta, {}});
@@ -216,7 +220,8 @@
   const double deadline = send.timeout_ms == 0 ? x->deadline : std::min(x->deadline, now + send.timeout_ms);
   Handle handle = 0;
   Result result = Result::Moot;
-  const bool open = !x->over && x->passing == 0 && number < settings_.max_attempts && now < deadline;
+  const bool open =
+      !x->over && x->passing == 0 && number < settings_.attempts_of(x->call->category) && now < deadline;
   if (open && may_send(*x, now)) handle = attempts_.add();
   ++x->out;
   x->attempts.push_back(handle);
@@ -233,7 +238,7 @@
       return wait_for(a, handle, deadline);
     }
     if (start == EgressSide::Start::NoTarget) result = Result::ConnectFailed;
-    if (start == EgressSide::Start::Full) log::line("egress table full: attempt not sent");
+    if (start == EgressSide::Start::Full) log::line("egress-table-full");
     x->attempts.back() = 0;
     attempts_.remove(handle);
   }
@@ -249,7 +254,7 @@
   const bodies::Allows body = x.call->inflow == nullptr ? bodies::Allows() : x.call->inflow->allows();
   const bodies::Past past{x.tried, x.out > 0, x.may_have_run, now - x.first_at};
   const bool may = bodies::may_send(body, rules.repeat, rules.window_ms, past);
-  if (!may && body.again) log::line("resend held back: id=%s attempts=%u", x.call->id.c_str(), x.tried);
+  if (!may && body.again) log::line("resend-held-back", {{"id", x.call->id}, {"attempts", x.tried}});
   return may;
 }
 
--- a/src/exchange/driver.h
+++ b/src/exchange/driver.h
@@ -36,6 +36,7 @@
   void client_gone(Handle exchange);
   void drained(Handle exchange); // its client has taken some of the answer that passes through
   void list(fernward::ServerList list);
+  void change(const fernward::Settings& settings); // as of Balancer::change; throws std::invalid_argument
 
   void ended(Handle attempt, Ending ending) override;
   double wait_until(Handle attempt) override;
--- a/src/ingress/codec.cpp
+++ b/src/ingress/codec.cpp
@@ -32,9 +32,24 @@
   return last.empty() ? 0 : std::max<std::uint64_t>(1, routes::hash_of(std::string(last)));
 }
 
+const config::Mapping kNothing;
+
+const config::Mapping& mapping_of(const http::Message& request, const std::vector<config::Mapping>& map) {
+  for (const config::Mapping& m : map) {
+    if (request.target.starts_with(m.path) && (m.method.empty() || m.method == request.method)) return m;
+  }
+  return kNothing;
+}
+
+// The header, or what stands in for it.
+std::string_view or_else(std::string_view header, const std::string& otherwise) {
+  return header.empty() ? std::string_view(otherwise) : header;
+}
+
 } // namespace
 
-Decoded decode(http::Message request, const config::Names& names, const fernward::Settings& settings) {
+Decoded decode(http::Message request, const Rules& given) {
+  const config::Names& names = given.names;
   Decoded out;
   const auto fault = [&out](int status, const char* why) {
     out.status = status;
@@ -50,21 +65,24 @@
   exchange::Call& call = out.call;
   call.write = request.method == "PUT";
   call.id = request.header("x-request-id");
-  if (call.id.empty()) return fault(400, "no X-Request-ID");
-  if (call.id.size() > kMaxId || !http::is_token(call.id)) return fault(400, "X-Request-ID");
-  const auto cls = std::find(names.classes.begin(), names.classes.end(), request.header("x-priority-class"));
+  if (call.id.empty() && !given.make_ids) return fault(400, "no X-Request-ID");
+  if (!call.id.empty() && (call.id.size() > kMaxId || !http::is_token(call.id)))
+    return fault(400, "X-Request-ID");
+  const config::Mapping& unsaid = mapping_of(request, given.map);
+  const auto cls = std::find(names.classes.begin(), names.classes.end(),
+                             or_else(request.header("x-priority-class"), unsaid.cls));
   if (cls == names.classes.end()) return fault(400, "unknown X-Priority-Class");
   call.category = static_cast<std::uint32_t>(cls - names.classes.begin());
-  const fernward::ClassSettings& rules = settings.classes[call.category];
+  const fernward::ClassSettings& rules = given.settings.classes[call.category];
   call.repeat_key = request.header("idempotency-key");
   if (call.write && rules.repeat == fernward::Repeat::Keyed && call.repeat_key.empty()) {
     return fault(400, "no Idempotency-Key");
   }
   // A tenant that the settings do not name has no share.
-  call.tenant = static_cast<std::uint32_t>(
-      std::find(names.tenants.begin(), names.tenants.end(), request.header("x-tenant-id")) -
-      names.tenants.begin());
-  call.timeout_ms = rules.give_up_ms;
+  call.tenant = static_cast<std::uint32_t>(std::find(names.tenants.begin(), names.tenants.end(),
+                                                     or_else(request.header("x-tenant-id"), unsaid.tenant)) -
+                                           names.tenants.begin());
+  call.timeout_ms = unsaid.timeout_ms > 0 ? unsaid.timeout_ms : rules.give_up_ms;
   const bool has_wait = request.has("x-timeout-ms");
   const std::string_view wait = request.header("x-timeout-ms");
   if (has_wait && !whole_ms(wait, call.timeout_ms)) return fault(400, "X-Timeout-Ms");
--- a/src/ingress/codec.h
+++ b/src/ingress/codec.h
@@ -9,12 +9,19 @@
 
 namespace fernward::ingress {
 
+struct Rules { // what a request is held against
+  config::Names names;
+  fernward::Settings settings;
+  std::vector<config::Mapping> map; // for what its headers do not say
+  bool make_ids = false;            // one without an id is sound: the caller gives it one
+};
+
 struct Decoded {
   int status = 0; // 0: `call` is sound; else what to answer, and why
   const char* why = "";
   exchange::Call call;
 };
-Decoded decode(http::Message request, const config::Names& names, const fernward::Settings& settings);
+Decoded decode(http::Message request, const Rules& rules);
 
 // Of a served answer the head: its body follows. Of any other all of it.
 std::string encode(const exchange::Answer& answer, bool keep_alive);
--- a/src/ingress/listener.cpp
+++ b/src/ingress/listener.cpp
@@ -1,11 +1,14 @@
 #include "ingress/listener.h"
 
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
+#include <random>
 #include <stdexcept>
 
 #include "config/address.h"
@@ -32,8 +35,7 @@
 
 Listener::Listener(event_base* base, loop::Deadlines& deadlines, budget::Account& account,
                    budget::Buffers& buffers, bodies::Account& bytes, exchange::BodyStores& bodies,
-                   const ListenerOptions& options, const config::Names& names,
-                   const fernward::Settings& settings, ListenerCalls calls)
+                   const ListenerOptions& options, Rules rules, ListenerCalls calls)
     : base_(base),
       deadlines_(deadlines),
       account_(account),
@@ -42,28 +44,65 @@
       bodies_(bodies),
       clients_(options.clients),
       options_(options),
-      names_(names),
-      settings_(settings),
+      rules_(std::move(rules)),
       calls_(std::move(calls)),
       connections_(account.total()) {
+  listen();
+  // Ids of two lives of a router must not meet at a node that remembers them.
+  std::random_device draw;
+  char prefix[32];
+  std::snprintf(prefix, sizeof prefix, "r%08x%08x-", draw(), draw());
+  id_prefix_ = prefix;
+}
+
+Listener::~Listener() {
+  if (!unix_path_.empty()) ::unlink(unix_path_.c_str());
+}
+
+namespace {
+
+// A path that a crash left behind is nobody's: no one takes a connection there.
+bool left_behind(const sockaddr_un& where) {
+  const int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd < 0) return false;
+  const int failed = connect(fd, reinterpret_cast<const sockaddr*>(&where), sizeof where);
+  const int fault = errno;
+  ::close(fd);
+  return failed != 0 && fault == ECONNREFUSED;
+}
+
+} // namespace
+
+void Listener::listen() {
   sockaddr_in where{};
-  if (!config::parse_address(options.address, where)) {
-    throw std::runtime_error("listen: no address: " + options.address);
+  sockaddr_un path{};
+  const auto at = config::unix_path(options_.address);
+  if (at) {
+    path.sun_family = AF_UNIX;
+    std::memcpy(path.sun_path, at->c_str(), at->size() + 1);
+    if (left_behind(path)) ::unlink(path.sun_path);
+  } else if (!config::parse_address(options_.address, where)) {
+    throw std::runtime_error("listen: no address: " + options_.address);
   }
-  listener_.reset(evconnlistener_new_bind(base, &Listener::accepted, this,
-                                          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-                                          kBacklog, reinterpret_cast<sockaddr*>(&where), sizeof where));
+  const unsigned reuse = at ? 0u : unsigned{LEV_OPT_REUSEABLE};
+  listener_.reset(evconnlistener_new_bind(
+      base_, &Listener::accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | reuse, kBacklog,
+      at ? reinterpret_cast<sockaddr*>(&path) : reinterpret_cast<sockaddr*>(&where),
+      at ? static_cast<int>(sizeof path) : static_cast<int>(sizeof where)));
   if (listener_ == nullptr) {
-    throw std::runtime_error("listen: cannot listen on " + options.address + ": " + std::strerror(errno));
+    throw std::runtime_error("listen: cannot listen on " + options_.address + ": " + std::strerror(errno));
   }
+  if (at) unix_path_ = *at;
   evconnlistener_set_error_cb(listener_.get(), &Listener::accept_failed);
 }
 
+void Listener::change(Rules rules) { rules_ = std::move(rules); }
+
 int Listener::port() const {
   sockaddr_in where{};
   socklen_t size = sizeof where;
   getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&where), &size);
-  return ntohs(where.sin_port);
+  return where.sin_family == AF_INET ? ntohs(where.sin_port) : 0;
 }
 
 // ---- connections come ----
@@ -78,12 +117,12 @@
   if (fault == EMFILE || fault == ENFILE) { // others hold what the account reckoned with
     const double now = now_ms();
     if (listener->account_.refused(now)) {
-      log::line("descriptors refused by the system: %zu of %zu in use, places go back to the limit by and by",
-                listener->account_.usable(now), listener->account_.total());
+      log::line("descriptors-refused",
+                {{"in_use", listener->account_.usable(now)}, {"of", listener->account_.total()}});
     }
     if (listener->let_go("table-full")) return; // the loop accepts again
   }
-  log::line("ingress accept failed: %s", std::strerror(fault));
+  log::line("accept-failed", {{"why", std::strerror(fault)}});
   listener->pause(kAcceptPauseMs);
 }
 
@@ -141,7 +180,7 @@
     const std::string text = encode_shed(options_.shed_retry_ms, false);
     [[maybe_unused]] const auto sent = ::send(fd, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     ::close(fd);
-    log::routine("ingress connection ended: code=table-full requests=0 ms=0");
+    log::routine("ingress-ended", {{"code", "table-full"}, {"requests", 0}, {"ms", 0}});
     return pause(kAcceptPauseMs);
   }
   const Handle handle = connections_.add(buffers_, bytes_, bodies_.keeper.rules().ceiling);
@@ -258,12 +297,19 @@
         http::write_response(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n", c.keep_alive);
     return reply(c, text, c.keep_alive, "done");
   }
-  Decoded decoded = decode(std::move(request), names_, settings_);
+  Decoded decoded = decode(std::move(request));
   if (!admit(c, decoded)) return;
   deadlines_.cancel(c.ticket);
   open(c, std::move(decoded.call));
 }
 
+Decoded Listener::decode(http::Message request) {
+  Decoded decoded = ingress::decode(std::move(request), rules_);
+  if (decoded.status == 0 && decoded.call.id.empty())
+    decoded.call.id = id_prefix_ + std::to_string(++ids_made_);
+  return decoded;
+}
+
 bool Listener::admit(Connection& c, Decoded& decoded) {
   ++c.requests;
   if (decoded.status != 0) {
@@ -311,7 +357,7 @@
   const std::string come = c.parser.take_body();
   c.keep_alive = head.keep_alive && !draining_;
   c.old = head.version_1_0;
-  Decoded decoded = decode(http::Message(head), names_, settings_);
+  Decoded decoded = decode(http::Message(head));
   if (!admit(c, decoded)) return;
   c.request.set(c.parser.held());
   c.begun_at = now_ms();
@@ -626,8 +672,7 @@
 }
 
 void Listener::close(Connection& c, const char* code) {
-  log::routine("ingress connection ended: code=%s requests=%u ms=%.0f", code, c.requests,
-               now_ms() - c.opened_at);
+  log::routine("ingress-ended", {{"code", code}, {"requests", c.requests}, {"ms", now_ms() - c.opened_at}});
   deadlines_.cancel(c.ticket);
   // A client that leaves, or asked for the end, makes room of itself.
   const bool left = c.peer_closed || !c.keep_alive;
@@ -650,6 +695,8 @@
   deadlines_.cancel(resume_);
   deadlines_.cancel(watch_);
   listener_.reset();
+  if (!unix_path_.empty()) ::unlink(unix_path_.c_str());
+  unix_path_.clear();
   connections_.each([this](Handle, Connection& c) {
     if (c.state != Connection::State::Reading || c.parser.begun() || loop::pending_output(c.io.get()) > 0)
       return;
--- a/src/ingress/listener.h
+++ b/src/ingress/listener.h
@@ -21,7 +21,7 @@
 namespace fernward::ingress {
 
 struct ListenerOptions {
-  std::string address;
+  std::string address; // IPv4, or "unix:PATH"
   budget::ClientsOptions clients;
   std::size_t short_body =
       64 * 1024; // up to here it waits until it is whole, see exchange/inflow.h for others
@@ -49,8 +49,11 @@
  public:
   // Throws std::runtime_error when the address can't be listened on. The accounts outlive it.
   Listener(event_base* base, loop::Deadlines& deadlines, budget::Account& account, budget::Buffers& buffers,
-           bodies::Account& bytes, exchange::BodyStores& bodies, const ListenerOptions& options,
-           const config::Names& names, const fernward::Settings& settings, ListenerCalls calls);
+           bodies::Account& bytes, exchange::BodyStores& bodies, const ListenerOptions& options, Rules rules,
+           ListenerCalls calls);
+  ~Listener() override;
+
+  void change(Rules rules); // what comes from now on is held against these; no class has gone
 
   void answer(loop::Handle client, exchange::Answer answer) override;
   bool begin(loop::Handle client, exchange::Opening opening) override;
@@ -64,7 +67,7 @@
   void drain(); // from now on each answer says that the connection ends with it
   void stop();  // takes what has come, closes the listening socket and what is idle
 
-  int port() const;
+  int port() const; // 0: a unix socket
   std::size_t connections() const { return connections_.size(); }
 
  private:
@@ -112,6 +115,8 @@
   void relieve();
   void watch_places();
   void read(Connection& c);
+  void listen();
+  Decoded decode(http::Message request);
   bool admit(Connection& c, Decoded& decoded); // false: it has been turned away
   void open(Connection& c, exchange::Call call);
   void begin_body(Connection& c);
@@ -144,12 +149,14 @@
   loop::Block block_;
   budget::Clients clients_;
   ListenerOptions options_;
-  config::Names names_;
-  fernward::Settings settings_;
+  Rules rules_;
   ListenerCalls calls_;
+  std::uint64_t ids_made_ = 0;
+  std::string id_prefix_;
   loop::Slots<Connection> connections_;
   loop::Pipe pipe_;
   std::unique_ptr<evconnlistener, ListenerFree> listener_;
+  std::string unix_path_; // ours, to be removed at the end; empty: none
   bool draining_ = false, paused_ = false, stopped_ = false;
   loop::Deadlines::Ticket resume_ = 0, watch_ = 0;
 };
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdarg>
+#include <cmath>
 #include <cstdio>
 
 namespace fernward::log {
 namespace {
 
+constexpr std::size_t kLongestValue = 400;
+
 struct Bucket {
   double per_second = 100, burst = 300, tokens = 300;
   std::chrono::steady_clock::time_point filled = std::chrono::steady_clock::now();
@@ -27,41 +29,72 @@
 };
 
 Bucket bucket;
+bool as_json = false, with_routine = true;
 
-} // namespace
+bool plain(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           std::string_view("-_.:/+,;@%[]").find(c) != std::string_view::npos;
+  });
+}
 
-namespace {
+// What a peer sent must not forge a line, in whichever form.
+void quoted(std::string& out, std::string_view text) {
+  out += '"';
+  for (const char c : text.substr(0, kLongestValue)) {
+    if (c == '"' || c == '\\') out += '\\';
+    const auto byte = static_cast<unsigned char>(c);
+    out += byte < 0x20 || byte >= 0x7f ? '?' : c;
+  }
+  out += '"';
+}
+
+void number(std::string& out, const Field& field) {
+  char text[40];
+  std::snprintf(text, sizeof text, "%.0f", std::isfinite(field.number) ? field.number : 0.0);
+  out += text;
+}
 
-void write(double reserve, const char* format, va_list arguments) {
+void key_value(std::string& out, const Field& field) {
+  out += ' ';
+  out += field.key;
+  out += '=';
+  if (field.kind != Field::Kind::Text) return number(out, field);
+  plain(field.text) && field.text.size() <= kLongestValue ? void(out += field.text) : quoted(out, field.text);
+}
+
+void member(std::string& out, const Field& field) {
+  out += ',';
+  quoted(out, field.key);
+  out += ':';
+  field.kind != Field::Kind::Text ? number(out, field) : quoted(out, field.text);
+}
+
+void write(double reserve, std::string_view event, const Field* fields, std::size_t count) {
   if (!bucket.take(reserve)) return;
-  char text[512];
-  std::vsnprintf(text, sizeof text, format, arguments);
-  for (char* c = text; *c != '\0'; ++c) {
-    if (static_cast<unsigned char>(*c) < 0x20) *c = '?'; // what a peer sent must not forge a line
-  }
-  char untold[48] = "";
-  if (bucket.untold > 0) {
-    std::snprintf(untold, sizeof untold, " (%llu lines dropped)",
-                  static_cast<unsigned long long>(bucket.untold));
+  std::string out;
+  out.reserve(160);
+  if (as_json) {
+    out = "{\"event\":";
+    quoted(out, event);
+  } else {
+    out += event;
   }
+  const auto add = [&](const Field& field) { as_json ? member(out, field) : key_value(out, field); };
+  for (std::size_t i = 0; i < count; ++i) add(fields[i]);
+  if (bucket.untold > 0) add({"lines_dropped", bucket.untold});
   bucket.untold = 0;
-  std::fprintf(stderr, "%s%s\n", text, untold);
+  if (as_json) out += '}';
+  std::fprintf(stderr, "%s\n", out.c_str());
 }
 
 } // namespace
 
-void line(const char* format, ...) {
-  va_list arguments;
-  va_start(arguments, format);
-  write(0, format, arguments);
-  va_end(arguments);
-}
+void line(std::string_view event, Fields fields) { write(0, event, fields.begin(), fields.size()); }
+void line(std::string_view event, const Field* fields, std::size_t count) { write(0, event, fields, count); }
 
-void routine(const char* format, ...) {
-  va_list arguments;
-  va_start(arguments, format);
-  write(bucket.burst / 4, format, arguments);
-  va_end(arguments);
+void routine(std::string_view event, Fields fields) {
+  if (with_routine) write(bucket.burst / 4, event, fields.begin(), fields.size());
 }
 
 void limit(double per_second, double burst) {
@@ -70,6 +103,9 @@
   bucket.tokens = burst;
 }
 
+void write_json(bool json) { as_json = json; }
+void write_routine(bool routine) { with_routine = routine; }
+
 std::uint64_t dropped() { return bucket.dropped; }
 
 } // namespace fernward::log
--- a/lab/scenario/units.cpp
+++ b/src/notation/units.cpp
@@ -1,11 +1,11 @@
-#include "lab/scenario/units.h"
+#include "notation/units.h"
 
 #include <array>
 #include <charconv>
 #include <cmath>
 #include <span>
 
-namespace fernward::lab {
+namespace fernward::notation {
 namespace {
 
 struct Suffix {
@@ -57,28 +57,28 @@
   return "";
 }
 
-std::optional<double> take_number(Unit unit, double number, std::string& why) {
+std::optional<double> take_number(Unit unit, double number, Why& why) {
   if (!std::isfinite(number)) {
-    why = "must be finite";
+    why = {"value", "must be finite"};
     return std::nullopt;
   }
   if (unit == Unit::Number || unit == Unit::Share || number == 0) return number;
-  why = "has no unit: " + wanted(unit);
+  why = {"unit", "has no unit: " + wanted(unit)};
   return std::nullopt;
 }
 
-std::optional<double> parse_quantity(Unit unit, std::string_view text, std::string& why) {
+std::optional<double> parse_quantity(Unit unit, std::string_view text, Why& why) {
   double number = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
   if (error != std::errc() || !std::isfinite(number)) {
-    why = wanted(unit);
+    why = {"unit", wanted(unit)};
     return std::nullopt;
   }
   std::string_view rest(end, static_cast<std::size_t>(text.data() + text.size() - end));
   while (!rest.empty() && rest.front() == ' ') rest.remove_prefix(1);
   if (rest.empty()) {
     if (unit != Unit::Number) return take_number(unit, number, why);
-    why = "must be a bare number, without quotes";
+    why = {"type", "must be a bare number, without quotes"};
     return std::nullopt;
   }
   for (const Suffix& suffix : suffixes(unit)) {
@@ -86,7 +86,7 @@
     const double value = scaled(number, suffix.factor);
     if (std::isfinite(value)) return value;
   }
-  why = "has the wrong unit \"" + std::string(rest.substr(0, 16)) + "\": " + wanted(unit);
+  why = {"unit", "has the wrong unit \"" + std::string(rest.substr(0, 16)) + "\": " + wanted(unit)};
   return std::nullopt;
 }
 
@@ -109,7 +109,8 @@
     const double written = suffix.factor < 1 ? value * std::round(1 / suffix.factor) : value / suffix.factor;
     // What a factor rounds away, a rounder number may bring back: 0.07 is 7%, not 7.000000000000001%.
     for (const double number : {std::round(written * 1e6) / 1e6, written}) {
-      std::string text = number_text(number) + std::string(suffix.text), why;
+      std::string text = number_text(number) + std::string(suffix.text);
+      Why why;
       const auto back = parse_quantity(unit, text, why);
       if (back && *back == value && (best.empty() || cost(text) < cost(best))) best = text;
     }
@@ -118,4 +119,4 @@
   return number_text(value); // Number, and shares that no percentage hits
 }
 
-} // namespace fernward::lab
+} // namespace fernward::notation
--- a/lab/scenario/units.h
+++ b/src/notation/units.h
@@ -1,11 +1,11 @@
-// Quantities as people write them in a scenario: "750ms", "64KiB", "410/s", "30%".
+// Quantities as people write them in a file: "750ms", "64KiB", "410/s", "30%".
 #pragma once
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace fernward::lab {
+namespace fernward::notation {
 
 enum class Unit {
   Number,    // bare
@@ -17,11 +17,17 @@
   ShareRate, // a percentage per time; held as a share per second
 };
 
+// Why a value can't be had: a word for programs, and what to tell people.
+struct Why {
+  const char* code = "";
+  std::string text;
+};
+
 // The quantity in the unit it is held in; none: `why` says what is wrong. Bare numbers but 0 need a unit, save
 // for Number and Share.
-std::optional<double> parse_quantity(Unit unit, std::string_view text, std::string& why);
+std::optional<double> parse_quantity(Unit unit, std::string_view text, Why& why);
 // A bare number of the file.
-std::optional<double> take_number(Unit unit, double number, std::string& why);
+std::optional<double> take_number(Unit unit, double number, Why& why);
 // The shortest text that parse_quantity turns back into exactly `value`.
 std::string quantity_text(Unit unit, double value);
 // What may be written, for messages and the reference: "a time such as \"750ms\"".
@@ -30,4 +36,4 @@
 // The shortest decimal that reads back as exactly `value`.
 std::string number_text(double value);
 
-} // namespace fernward::lab
+} // namespace fernward::notation
--- /dev/null
+++ b/src/notation/visitor.cpp
@@ -0,0 +1,32 @@
+#include "notation/visitor.h"
+
+#include <algorithm>
+
+namespace fernward::notation {
+
+std::string key_of(std::string_view path) {
+  std::string out;
+  while (!path.empty()) {
+    const std::size_t end = std::min(path.find('.'), path.size());
+    std::string_view step = path.substr(0, end);
+    path.remove_prefix(std::min(end + 1, path.size()));
+    std::string_view index;
+    if (step == "backoff_ms") step = "wait_ms"; // `backoff` is its neighbour
+    if (const std::size_t at = step.find('['); at != std::string_view::npos) {
+      index = step.substr(at);
+      step = step.substr(0, at);
+    }
+    for (const std::string_view unit : {"_ms", "_bytes", "_per_s", "_mb"}) {
+      if (step.size() > unit.size() && step.ends_with(unit)) {
+        step.remove_suffix(unit.size());
+        break;
+      }
+    }
+    if (!out.empty()) out += '.';
+    out += step == "cls" ? std::string_view("class") : step;
+    out += index;
+  }
+  return out;
+}
+
+} // namespace fernward::notation
--- /dev/null
+++ b/src/notation/visitor.h
@@ -0,0 +1,125 @@
+// A description of plain data, walked by all who turn it into text or text into it: the reader, the writer, the setter
+// of single values, the reference, the schema. Each key is described once, so that none of them can know a key that
+// another does not.
+//
+// Members carry their units ("aim_ms"); the keys of a file don't, as units stand with the values: key_of().
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "notation/units.h"
+
+namespace fernward::notation {
+
+// What a name in the file refers to. The numbers are the description's own.
+enum class Table : int {};
+
+struct Word { // that stands for a value no quantity can say
+  const char* text = nullptr;
+  double value = 0;
+};
+
+using Words = std::span<const char* const>;
+
+class Visitor {
+ public:
+  virtual ~Visitor() = default;
+
+  virtual void amount(const char* member, double& value, Unit unit, const char* doc, Word word = {}) = 0;
+  virtual void count(const char* member, std::uint32_t& value, const char* doc, Unit unit = Unit::Number) = 0;
+  virtual void seed(const char* member, std::uint64_t& value, const char* doc) = 0;
+  virtual void text(const char* member, std::string& value, bool needed, const char* doc) = 0;
+  virtual void texts(const char* member, std::vector<std::string>& values, const char* doc) = 0;
+  virtual void flag(const char* member, bool& value, const char* doc) = 0;
+  virtual void choice(const char* member, std::size_t& value, Words words, bool needed, const char* doc) = 0;
+  virtual void choices(const char* member, std::vector<std::size_t>& values, Words words,
+                       const char* doc) = 0;
+  virtual void ref(const char* member, std::uint32_t& value, Table table, bool needed, const char* doc) = 0;
+  virtual void refs(const char* member, std::vector<std::uint32_t>& values, Table table, const char* doc) = 0;
+
+  // Of a member that may be absent: will it be there after this visit? `now`: it is there before.
+  virtual bool present(const char* member, bool now) = 0;
+
+  virtual void enter(const char* member, const char* doc) = 0;
+  virtual void leave() = 0;
+  // How many items the list will have; `size`: it has now. Then come item() and leave() for each.
+  virtual std::size_t list(const char* member, std::size_t size, const char* doc) = 0;
+  virtual void item(const char* member, std::size_t index, const std::string& name) = 0;
+  // The same of a table of tables: the names that it will have, in order; `names`: it has now.
+  virtual std::vector<std::string> named(const char* member, std::vector<std::string> names,
+                                         const char* doc) = 0;
+};
+
+// What the names of a Table stand for, as far as the data has been read: tables are described before what refers to
+// them.
+class Names {
+ public:
+  virtual ~Names() = default;
+  virtual std::optional<std::uint32_t> find(Table table, const std::string& name) const = 0;
+  virtual std::string name(Table table, std::uint32_t index) const = 0; // empty: there is none
+  virtual std::vector<std::string> known(Table table) const = 0;        // empty: not to be listed
+  virtual const char* what(Table table) const = 0;                      // "zone"
+  virtual const char* written(Table table) const = 0;                   // "a zone's name", for the reference
+  virtual const char* list(Table table) const = 0;                      // the member that holds them
+  virtual const char* hint(Table) const { return ""; } // how they are named, where none is near
+};
+
+// "at_ms" -> "at": units stand with the values. Each step of a path: "events[3].at_ms" -> "events[3].at".
+std::string key_of(std::string_view member_path);
+
+// The rest of this file serves descriptions.
+
+template <typename E>
+void pick(Visitor& v, const char* member, E& value, Words words, const char* doc, bool needed = false) {
+  auto word = static_cast<std::size_t>(value);
+  v.choice(member, word, words, needed, doc);
+  value = static_cast<E>(word);
+}
+
+template <typename T, typename F>
+void maybe(Visitor& v, const char* member, std::optional<T>& value, F visit) {
+  if (!v.present(member, value.has_value())) {
+    value.reset();
+    return;
+  }
+  if (!value) value.emplace();
+  visit(*value);
+}
+
+template <typename T>
+std::string name_of(const T& item) {
+  if constexpr (requires { item.name; }) return item.name;
+  return "";
+}
+
+template <typename T, typename F>
+void each(Visitor& v, const char* member, std::vector<T>& items, const char* doc, F fields) {
+  items.resize(v.list(member, items.size(), doc));
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    v.item(member, i, name_of(items[i]));
+    fields(items[i]);
+    v.leave();
+  }
+}
+
+// Items that have a `name`, which is their key in the file.
+template <typename T, typename F>
+void each_named(Visitor& v, const char* member, std::vector<T>& items, const char* doc, F fields) {
+  std::vector<std::string> names;
+  for (const T& item : items) names.push_back(item.name);
+  names = v.named(member, std::move(names), doc);
+  items.resize(names.size());
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    items[i].name = names[i];
+    v.item(member, i, names[i]);
+    fields(items[i]);
+    v.leave();
+  }
+}
+
+} // namespace fernward::notation
--- a/src/policy/answer.cpp
+++ b/src/policy/answer.cpp
@@ -46,7 +46,7 @@
 
 // What keeps a request from being sent to `r`, in service or not.
 Why Balancer::Impl::blocked(const Open& o, const Replica& r) const {
-  if (o.attempts.size() >= set.max_attempts) return Why::Attempts;
+  if (o.attempts.size() >= set.attempts_of(o.in.cls)) return Why::Attempts;
   if (!repeatable(o, r)) return Why::Class;
   return now >= o.end_at ? Why::Unsent : Why::NoTarget;
 }
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -16,12 +16,7 @@
 } // namespace
 
 Balancer::Impl::Impl(const Settings& s, std::uint64_t seed) : set(s), random{mix(seed)} {
-  for (const ClassSettings& c : set.classes) {
-    for (const double share : {1.0, set.over_share_worth}) shedder.value.push_back(c.worth * share);
-    if (c.aim_ms > 0) aim_ms = std::min(aim_ms, c.aim_ms);
-  }
-  shedder.rate.resize(shedder.value.size());
-  tenant_rate.resize(set.tenants.size());
+  take_classes();
   cache_late.slow_ms = origin_late.slow_ms = aim_ms / 3; // until answers tell
   fleet_ms = cache_late.slow_ms / 3;
 }
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -53,6 +53,7 @@
   double ask_at = 0, ask_wait = 0, logged_at = kNever;
 
   Impl(const Settings& s, std::uint64_t seed);
+  void take_classes(); // settings.cpp
 
   // balancer.cpp: events, the server list, timers
   void start();
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -136,7 +136,8 @@
 }
 
 bool Balancer::Impl::send(Open& o, Replica& r) {
-  if (o.over || o.streaming || o.attempts.size() >= set.max_attempts || !repeatable(o, r)) return false;
+  if (o.over || o.streaming || o.attempts.size() >= set.attempts_of(o.in.cls) || !repeatable(o, r))
+    return false;
   if (r.entry.state != ServerState::Ready || now >= o.end_at) return false;
   if (r.ejected) r.trial_out = true;
   act(SetTimer{std::max(lateness(r).slow_ms, 2 * set.tick_ms),
--- a/src/policy/origin.cpp
+++ b/src/policy/origin.cpp
@@ -10,7 +10,7 @@
 
 void Balancer::Impl::after_miss(Open& o) {
   // Another candidate may hold it, at a lower price than the origin's; one attempt is kept for that.
-  if (o.attempts.size() + 1 < set.max_attempts && choose(o)) return;
+  if (o.attempts.size() + 1 < set.attempts_of(o.in.cls) && choose(o)) return;
   if (const auto it = fetches.find(o.in.key); o.in.key != 0 && it != fetches.end() && !o.leads) {
     it->second.push_back(o.in.id);
     return;
@@ -20,7 +20,7 @@
 
 void Balancer::Impl::to_origin(Open& o) {
   if (origin == nullptr) return conclude(o, Why::NoTarget);
-  if (o.attempts.size() >= set.max_attempts || !repeatable(o, *origin))
+  if (o.attempts.size() >= set.attempts_of(o.in.cls) || !repeatable(o, *origin))
     return conclude(o, blocked(o, *origin));
   if (!o.in.write && o.in.key != 0) o.leads = fetches.try_emplace(o.in.key).second || o.leads;
   o.queued = origin_queue.add(now, o.in.id, o.value, o.end_at, o.in.write);
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -192,11 +192,11 @@
   r->hung += a.hung;
   strike(*r, 1);
   const bool safe = set.classes[o.in.cls].repeat == Repeat::Safe;
-  if (!set.may_duplicate && set.may_cancel && safe && allowance.saved() >= 1 &&
-      o.attempts.size() < set.max_attempts) {
+  if (!set.copies_of(o.in.cls) && set.may_cancel && safe && allowance.saved() >= 1 &&
+      o.attempts.size() < set.attempts_of(o.in.cls)) {
     act(Cancel{o.in.id, static_cast<std::uint32_t>(attempt)}); // its outcome brings the next attempt
   }
-  if (!set.may_duplicate || o.queued || o.waits_well()) return;
+  if (!set.copies_of(o.in.cls) || o.queued || o.waits_well()) return;
   // At the origin a copy costs as much as a fetch, so one is sent only where the connection is at fault.
   const bool at_origin = is_origin(*r);
   const double crowding = at_origin ? origin_limit.crowding(now, r->working()) : 0;
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -1,9 +1,11 @@
-// Checks of the settings that a Balancer is given. No decisions here.
+// Checks of the settings that a Balancer is given, and their change while it runs. No decisions here.
+#include <algorithm>
 #include <cmath>
 #include <stdexcept>
 #include <string>
 
 #include "fernward/choice.h"
+#include "policy/balancer.h"
 
 namespace fernward {
 namespace {
@@ -48,4 +50,32 @@
   check(natural(s.tip_after_ms), "tip_after_ms");
 }
 
+void Balancer::Impl::take_classes() {
+  shedder.value.clear();
+  aim_ms = 3000;
+  for (const ClassSettings& c : set.classes) {
+    for (const double share : {1.0, set.over_share_worth}) shedder.value.push_back(c.worth * share);
+    if (c.aim_ms > 0) aim_ms = std::min(aim_ms, c.aim_ms);
+  }
+  shedder.rate.resize(shedder.value.size());
+  tenant_rate.resize(set.tenants.size());
+}
+
+void Balancer::change(const Settings& s) {
+  validate(s);
+  const Settings& was = impl_->set;
+  const auto stays = [](bool same, const char* what) {
+    if (!same) throw std::invalid_argument(std::string("settings: ") + what + " can't change while it runs");
+  };
+  stays(s.nodes == was.nodes, "nodes");
+  stays(s.zone == was.zone, "zone");
+  stays(s.classes.size() >= was.classes.size(), "the number of classes");
+  stays(s.tenants.size() >= was.tenants.size(), "the number of tenants");
+  stays(s.origin_kind == was.origin_kind, "origin_kind");
+  stays(s.report_via == was.report_via && s.report_fields == was.report_fields, "reports");
+  stays(s.discovery == was.discovery && s.weight_kind == was.weight_kind, "the form of lists");
+  impl_->set = s;
+  impl_->take_classes();
+}
+
 } // namespace fernward
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -78,6 +78,16 @@
   return longest > 0 ? longest : 3000;
 }
 
+ingress::Rules ingress_rules(const config::Config& config) {
+  return {config.names, config.settings, config.map, config.make_ids};
+}
+
+void take_log_rules(const config::LogRules& rules) {
+  log::limit(rules.per_second, rules.burst);
+  log::write_json(rules.json);
+  log::write_routine(rules.connections);
+}
+
 } // namespace
 
 BasePtr make_base() {
@@ -102,23 +112,28 @@
               driver_options(config)),
       pool_(base, deadlines_, account_, bytes_, pool_options(config), driver_,
             [this] { return listener_.let_go("recalled"); }),
-      listener_(base, deadlines_, account_, buffers_, bytes_, bodies_, listener_options(config), config.names,
-                config.settings, listener_calls()) {
+      listener_(base, deadlines_, account_, buffers_, bytes_, bodies_, listener_options(config),
+                ingress_rules(config), listener_calls()) {
   driver_.attach(listener_, pool_);
+  if (config_.movable) take_log_rules(config_.log);
   take_known();
-  watch_ = watch(config_.discovery);
+  follow(config_);
   again(kFiguresMs, [this] { tell_figures(); });
-  log::line("%s serves on port %d of %s, discovery at %s", config_.name.c_str(), port(),
-            config_.listen.c_str(), config_.discovery.c_str());
+  log::line("serves", {{"name", config_.name},
+                       {"listen", config_.listen},
+                       {"port", port()},
+                       {"nodes", !config_.discovery.empty()    ? config_.discovery
+                                 : !config_.nodes_file.empty() ? config_.nodes_file
+                                                               : "fixed"}});
 }
 
 Router::~Router() {
   tell_figures();
-  log::line(
-      "%s ends: unanswered=%zu egress-connections-opened=%llu resets-after-rest=%llu log-lines-dropped=%llu",
-      config_.name.c_str(), driver_.unanswered(), static_cast<unsigned long long>(pool_.opened()),
-      static_cast<unsigned long long>(pool_.reset_after_rest()),
-      static_cast<unsigned long long>(log::dropped()));
+  log::line("ends", {{"name", config_.name},
+                     {"unanswered", driver_.unanswered()},
+                     {"egress_opened", pool_.opened()},
+                     {"resets_after_rest", pool_.reset_after_rest()},
+                     {"dropped", log::dropped()}});
 }
 
 void Router::again(double every_ms, std::function<void()> what) {
@@ -133,14 +148,13 @@
   constexpr const char* kNames[] = {"shed",     "queued-late", "unanswered", "unsent",  "allowance",
                                     "attempts", "class",       "no-target",  "rejected"};
   static_assert(std::size(kNames) == static_cast<std::size_t>(fernward::Why::Count));
-  std::string text;
+  std::vector<log::Field> fields;
   const auto& figures = driver_.given_up();
   for (std::size_t i = 0; i < figures.size(); ++i) {
-    if (figures[i] != told_[i])
-      text += std::string(" ") + kNames[i] + "=" + std::to_string(figures[i] - told_[i]);
+    if (figures[i] != told_[i]) fields.emplace_back(kNames[i], figures[i] - told_[i]);
   }
   told_ = figures;
-  if (!text.empty()) log::line("given up:%s", text.c_str());
+  if (!fields.empty()) log::line("given-up", fields.data(), fields.size());
 }
 
 ingress::ListenerCalls Router::listener_calls() {
@@ -158,13 +172,41 @@
   if (config_.known.is_null()) return;
   try {
     auto list = table_.apply(config_.known);
-    list.kind = fernward::ListKind::Cached;
+    if (!config_.nodes_fixed) list.kind = fernward::ListKind::Cached;
     spread(std::move(list));
   } catch (const routes::Damaged& damage) {
-    log::line("known: the list is damaged, discovery will tell: %s", damage.what());
+    log::line("known-damaged", {{"why", damage.what()}});
+  }
+}
+
+// Whoever tells the nodes from now on. The list that was told last stays until then.
+void Router::follow(const config::Config& next) {
+  if (!next.nodes_file.empty()) {
+    if (file_ == nullptr || file_->path() != next.nodes_file) file_ = watch_file(next.nodes_file);
+  } else {
+    file_.reset();
+  }
+  if (next.discovery.empty()) {
+    watch_.reset();
+    next_watch_.reset();
+  } else if (watch_ == nullptr) {
+    next_watch_.reset();
+    watch_ = watch(next.discovery);
+  } else if (watch_->address() == next.discovery) {
+    next_watch_.reset(); // back again before the other has told anything
+  } else if (next_watch_ == nullptr || next_watch_->address() != next.discovery) {
+    // Whatever becomes of the old watch, the route table stays as it is until the new discovery tells its list.
+    next_watch_ = watch(next.discovery);
   }
 }
 
+std::unique_ptr<routes::FileWatch> Router::watch_file(const std::string& path) {
+  return std::make_unique<routes::FileWatch>(deadlines_, path, [this](const std::string& text) {
+    spread(table_.apply(text));
+    return table_.index();
+  });
+}
+
 std::unique_ptr<routes::Watch> Router::watch(const std::string& address) {
   return std::make_unique<routes::Watch>(
       base_, deadlines_, address, [this, address](const std::string& text) { return take(text, address); });
@@ -174,7 +216,7 @@
   spread(table_.apply(text));
   // The first word of the new discovery, a whole list: the old one has no more say.
   if (next_watch_ != nullptr && next_watch_->address() == from) {
-    log::line("%s follows discovery at %s", config_.name.c_str(), from.c_str());
+    log::line("follows-discovery", {{"name", config_.name}, {"address", from}});
     watch_ = std::move(next_watch_);
   }
   return table_.index();
@@ -186,27 +228,39 @@
 }
 
 void Router::reload(const config::Config& next) {
+  if (config_.movable) return move(config::moved(config_, next));
   for (const auto& key : config::refused_changes(config_, next)) {
-    log::line("reload: %s holds until the next start, the old value stays", key.c_str());
+    log::line("reload-holds-until-start", {{"key", key}});
   }
   if (next.discovery == config_.discovery) {
-    log::line("reload: discovery stays at %s", config_.discovery.c_str());
+    log::line("reload-discovery-stays", {{"address", config_.discovery}});
     return;
   }
-  log::line("reload: discovery moves from %s to %s", config_.discovery.c_str(), next.discovery.c_str());
+  log::line("reload-discovery-moves", {{"from", config_.discovery}, {"to", next.discovery}});
   config_.discovery = next.discovery;
-  // Whatever becomes of the old watch, the route table stays as it is until the new discovery tells its list.
-  if (watch_->address() == config_.discovery) {
-    next_watch_.reset(); // back again before the other has told anything
-  } else {
-    next_watch_ = watch(config_.discovery);
+  follow(config_);
+}
+
+// All of it, or nothing: what can fail comes first.
+void Router::move(config::Config next) {
+  try {
+    driver_.change(next.settings);
+  } catch (const std::invalid_argument& fault) {
+    throw config::Error(fault.what());
   }
+  listener_.change(ingress_rules(next));
+  take_log_rules(next.log);
+  const bool fixed = next.nodes_fixed && next.known != config_.known;
+  config_ = std::move(next);
+  if (fixed) take_known();
+  follow(config_);
+  log::line("reload-taken", {{"name", config_.name}});
 }
 
 void Router::wind_down() {
   if (winding_down_) return;
   winding_down_ = true;
-  log::line("%s winds down", config_.name.c_str());
+  log::line("winds-down", {{"name", config_.name}});
   listener_.drain();
   const double now = loop::now_ms();
   deadlines_.at(now + kAcceptOnMs, [this] { listener_.stop(); });
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -13,6 +13,7 @@
 #include "egress/pool.h"
 #include "exchange/driver.h"
 #include "ingress/listener.h"
+#include "routes/file.h"
 #include "routes/table.h"
 #include "routes/watch.h"
 
@@ -34,8 +35,8 @@
   ~Router();
 
   void wind_down(); // what SIGTERM asks for: answer all that was taken, then end
-  // What SIGHUP asks for: the configuration as it reads now. Only `discovery` may change; connections,
-  // exchanges and the route table stay.
+  // What SIGHUP asks for: the configuration as it reads now. Only `discovery` may change, or what config::moved() lets
+  // pass; connections, exchanges and the route table stay. Throws config::Error, and nothing has changed.
   void reload(const config::Config& next);
 
   int port() const { return listener_.port(); }
@@ -49,7 +50,10 @@
  private:
   ingress::ListenerCalls listener_calls();
   void take_known();
+  void follow(const config::Config& next);
+  void move(config::Config next);
   std::unique_ptr<routes::Watch> watch(const std::string& address);
+  std::unique_ptr<routes::FileWatch> watch_file(const std::string& path);
   void again(double every_ms, std::function<void()> what);
   void tell_figures();
   std::uint64_t take(const std::string& text, const std::string& from);
@@ -68,6 +72,7 @@
   ingress::Listener listener_;
   std::unique_ptr<routes::Watch> watch_;      // on the discovery that has told the list
   std::unique_ptr<routes::Watch> next_watch_; // after a reload: on the one that has not told it yet
+  std::unique_ptr<routes::FileWatch> file_;   // where a file tells the nodes
   exchange::Driver::Figures told_{};          // given up when last told
   bool winding_down_ = false;
 };
--- /dev/null
+++ b/src/routes/file.cpp
@@ -0,0 +1,69 @@
+#include "routes/file.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "log/log.h"
+#include "loop/deadlines.h"
+#include "routes/table.h"
+
+namespace fernward::routes {
+namespace {
+
+constexpr double kLookMs = 250;
+constexpr off_t kMostList = 8 << 20;
+
+bool same(const struct stat& a, const struct stat& b) {
+  return a.st_ino == b.st_ino && a.st_dev == b.st_dev && a.st_size == b.st_size &&
+         a.st_mtim.tv_sec == b.st_mtim.tv_sec && a.st_mtim.tv_nsec == b.st_mtim.tv_nsec;
+}
+
+} // namespace
+
+FileWatch::FileWatch(loop::Deadlines& deadlines, const std::string& path, Take take)
+    : deadlines_(deadlines), path_(path), take_(std::move(take)) {
+  look();
+}
+
+FileWatch::~FileWatch() { deadlines_.cancel(ticket_); }
+
+void FileWatch::look() {
+  ticket_ = deadlines_.at(loop::now_ms() + kLookMs, [this] { look(); });
+  struct stat now {};
+  if (stat(path_.c_str(), &now) != 0) return fault(std::strerror(errno));
+  if (same(now, seen_)) return;
+  if (now.st_size > kMostList) return fault("is over 8 MiB");
+  seen_ = now;
+  read(); // half written it is no JSON, and is read again when the rest is there
+}
+
+void FileWatch::read() {
+  std::ifstream in(path_, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in) return fault("can't be read");
+  auto list = nlohmann::json::parse(text.str(), nullptr, false);
+  if (list.is_array()) list = {{"endpoints", std::move(list)}};
+  if (!list.is_object()) return fault("is not JSON, or no list");
+  list["index"] = ++versions_;
+  list["snapshot"] = true;
+  try {
+    take_(list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  } catch (const Damaged& damage) {
+    return fault(damage.what());
+  }
+  if (!fault_.empty()) log::line("list-file-sound", {{"path", path_}});
+  fault_.clear();
+  told_ = true;
+}
+
+void FileWatch::fault(const std::string& why) {
+  if (why == fault_) return;
+  fault_ = why;
+  log::line("list-file-damaged", {{"path", path_}, {"why", why}});
+}
+
+} // namespace fernward::routes
--- /dev/null
+++ b/src/routes/file.h
@@ -0,0 +1,43 @@
+// A file that tells the nodes, in discovery's form: a whole list, or only its array of endpoints. It is looked at four
+// times a second and read when it has changed; what can't be read leaves the list as it is, with a line in the log.
+#pragma once
+
+#include <sys/stat.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "loop/deadlines.h"
+
+namespace fernward::routes {
+
+class FileWatch {
+ public:
+  // Takes a whole list; throws Damaged. It is called first from within the constructor, where the file can be read.
+  using Take = std::function<std::uint64_t(const std::string& text)>;
+
+  FileWatch(loop::Deadlines& deadlines, const std::string& path, Take take);
+  ~FileWatch();
+  FileWatch(const FileWatch&) = delete;
+  FileWatch& operator=(const FileWatch&) = delete;
+
+  const std::string& path() const { return path_; }
+  bool told() const { return told_; } // a list has been taken
+
+ private:
+  void look();
+  void read();
+  void fault(const std::string& why);
+
+  loop::Deadlines& deadlines_;
+  std::string path_;
+  Take take_;
+  std::uint64_t versions_ = 0;
+  struct stat seen_ {};
+  bool told_ = false;
+  std::string fault_; // told last: it is not told again and again
+  loop::Deadlines::Ticket ticket_ = 0;
+};
+
+} // namespace fernward::routes
--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -58,8 +58,8 @@
 bool Table::place(const Target& target, std::map<fernward::ServerId, Target>& into) const {
   const auto [it, added] = into.try_emplace(target.entry.id, target);
   if (!added && it->second.name != target.name) {
-    log::line("route table: %s and %s share the number %u, the lesser name keeps it", target.name.c_str(),
-              it->second.name.c_str(), target.entry.id);
+    log::line("route-number-shared", // the lesser name keeps it
+              {{"a", target.name}, {"b", it->second.name}, {"number", target.entry.id}});
     if (it->second.name < target.name) return false;
   }
   it->second = target;
--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -81,7 +81,7 @@
     if (answer.status != 200) throw Damaged("status " + std::to_string(answer.status));
     index_ = take_(answer.body);
   } catch (const Damaged& damage) {
-    log::line("route table: discovery's answer is damaged, the last list stays: %s", damage.what());
+    log::line("list-damaged", {{"from", address_}, {"why", damage.what()}});
     return fail("damaged");
   }
   ++answers_;
@@ -92,8 +92,7 @@
 }
 
 void Watch::fail(const char* code) {
-  log::line("discovery connection ended: code=%s answers=%llu", code,
-            static_cast<unsigned long long>(answers_));
+  log::line("discovery-ended", {{"code", code}, {"answers", answers_}});
   connection_.reset();
   index_.reset(); // what was missed meanwhile is in the whole list
   backoff_ms_ = std::clamp(2 * backoff_ms_, kFirstBackoffMs, kMaxBackoffMs);
--- /dev/null
+++ b/src/setup/explain.cpp
@@ -0,0 +1,146 @@
+#include "setup/explain.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <map>
+
+#include "notation/value.h"
+#include "notation/writer.h"
+#include "setup/keys.h"
+#include "setup/ledger.h"
+
+namespace fernward::setup {
+namespace {
+
+using notation::Unit;
+
+std::vector<notation::Leaf> leaves_of(App app) {
+  const AppNames names(app);
+  return notation::leaves(names, [&](notation::Visitor& v) { describe(v, app); });
+}
+
+std::string time(double ms) { return notation::quantity_text(Unit::Time, ms); }
+
+std::string attempts(const ClassSetup& c, const App& app) {
+  const std::uint32_t most = std::min(app.attempts.most, c.retries ? *c.retries + 1 : app.attempts.most);
+  const double window = c.retry_for_ms ? std::min(*c.retry_for_ms, c.window_ms) : c.window_ms;
+  if (most <= 1) return "One attempt is made, whatever becomes of it.";
+  const std::string up_to = "Up to " + std::to_string(most) + " attempts are made";
+  switch (c.repeat) {
+    case Repeat::Safe:
+      return up_to +
+             ", each at another node or at the ledger, as far as the allowance of retries has one left.";
+    case Repeat::Keyed:
+      if (window <= 0) return up_to + ", but none once an attempt may have run: there is no window.";
+      return up_to + ". Once one may have run, further ones go out with the same key, within " +
+             time(window) + " of it" +
+             (c.scope == Scope::All ? "." : std::string(" and only to its ") + scope_word(c.scope) + ".");
+    case Repeat::Unsafe: return up_to + ", but none once an attempt may have run.";
+  }
+  return "";
+}
+
+std::string copies(const ClassSetup& c, const App& app) {
+  if (!app.attempts.copies || !c.copies || c.repeat == Repeat::Unsafe)
+    return "No second copy is sent beside one that is out.";
+  if (c.repeat == Repeat::Keyed && c.window_ms <= 0) return "No second copy is sent beside one that is out.";
+  return "An attempt slower than 95% of the answers may get a second copy at another node; the first answer "
+         "counts.";
+}
+
+std::string refusals(const App& app) {
+  if (app.attempts.retry_after_ms <= 0) return "Who is refused is not told when to come again.";
+  return "Who is refused is told to come again within " + time(app.attempts.retry_after_ms) + ".";
+}
+
+} // namespace
+
+std::vector<Value> values(const Setup& setup) {
+  std::vector<Value> all;
+  for (const notation::Leaf& leaf : leaves_of(setup.app)) {
+    Value& made = all.emplace_back();
+    made.key = leaf.key;
+    made.value = leaf.value;
+    if (const auto variable = setup.variables.find(leaf.member); variable != setup.variables.end()) {
+      made.from = variable->second;
+    } else if (const auto place = setup.places.find(leaf.member); place != setup.places.end()) {
+      made.from = place->second.file + ":" + std::to_string(place->second.line) + ":" +
+                  std::to_string(place->second.column);
+    } else {
+      made.from = "default";
+    }
+  }
+  return all;
+}
+
+std::string behaviour(const App& app) {
+  std::string out;
+  for (const ClassSetup& c : app.classes) {
+    out += "class " + c.name + "\n";
+    const double aim = c.aim_ms > 0 ? c.aim_ms : c.give_up_ms;
+    out += "  An answer within " + time(aim) + " is worth " + notation::number_text(c.worth);
+    if (c.late_share > 0)
+      out += ", a later one " + notation::quantity_text(Unit::Share, c.late_share) + " of it, until " +
+             time(c.give_up_ms);
+    out += c.late_share > 0 ? ".\n"
+                            : ". The request ends there, refused or failed, and its client hears at once.\n";
+    out += "  " + attempts(c, app) + "\n  " + copies(c, app) + "\n";
+    if (app.fleet.ledger && c.write) {
+      out += "  It is a write: it goes to the ledger, and waits for its turn there.\n";
+    } else if (app.fleet.ledger) {
+      out +=
+          "  The key's nodes are asked first; what they miss is fetched from the ledger, one fetch a key at "
+          "a time.\n";
+    }
+    out += "  It may be refused: when the nodes have no room and it is worth the least (" +
+           notation::number_text(c.worth) + ")";
+    out += app.fleet.ledger ? ", or when its turn at the ledger would come too late.\n" : ".\n";
+    out += "  " + refusals(app) + "\n";
+    for (const MapSetup& m : app.map) {
+      if (m.cls >= app.classes.size() || &app.classes[m.cls] != &c) continue;
+      out += "  Without X-Priority-Class: " + std::string(method_word(m.method)) + " " + m.path + "...\n";
+    }
+    out += "\n";
+  }
+  if (!app.tenants.empty()) {
+    out += "tenants\n";
+    for (const TenantSetup& t : app.tenants) {
+      out += "  " + t.name + " has " + notation::quantity_text(Unit::Share, t.share) + " of the service";
+      if (t.quota_per_s > 0) {
+        out += "; beyond " + notation::quantity_text(Unit::Rate, t.quota_per_s) +
+               " (or its share, if that is more) its requests are worth " +
+               notation::quantity_text(Unit::Share, app.tier.over_share_worth) + " of the others'";
+      }
+      out += ".\n";
+    }
+    out += "\n";
+  }
+  if (app.fleet.ledger) {
+    const LedgerLoad load = ledger_load(app);
+    char text[200];
+    std::snprintf(text, sizeof text,
+                  "ledger\n  About %.1f%% of the requests reach it: %.1f%% as writes, %.1f%% as misses, "
+                  "%.1f%% for want of room%s.\n",
+                  100 * load.share, 100 * load.writes, 100 * load.misses, 100 * load.no_room,
+                  load.counts_memory ? "" : " (memory, keys or sizes are not told: misses are left out)");
+    out += text;
+  }
+  return out;
+}
+
+std::vector<Change> changes(const App& before, const App& after) {
+  std::map<std::string, Change> all;
+  for (const notation::Leaf& leaf : leaves_of(before)) all[leaf.key].before = leaf.value;
+  for (const notation::Leaf& leaf : leaves_of(after)) all[leaf.key].after = leaf.value;
+  std::vector<Change> made;
+  for (auto& [key, change] : all) {
+    if (change.before == change.after) continue;
+    change.key = key;
+    change.by_reload = reload_takes(key);
+    made.push_back(std::move(change));
+  }
+  return made;
+}
+
+} // namespace fernward::setup
--- /dev/null
+++ b/src/setup/read.cpp
@@ -0,0 +1,185 @@
+#include "setup/read.h"
+
+#include <algorithm>
+#include <set>
+
+#include "notation/reader.h"
+#include "notation/value.h"
+#include "setup/keys.h"
+#include "setup/sound.h"
+
+namespace fernward::setup {
+namespace {
+
+using notation::Fault;
+using notation::Layer;
+using notation::Source;
+
+const std::set<std::string> kApart{"include", "profile", "profiles"};
+
+std::string variable(Environment environment, const char* name) {
+  const char* value = environment == nullptr ? nullptr : environment(name);
+  return value == nullptr ? "" : value;
+}
+
+const toml::table* profiles_of(const Layer& layer) {
+  const toml::node* node = layer.table.get("profiles");
+  return node == nullptr ? nullptr : node->as_table();
+}
+
+struct Profile {
+  std::string name;
+  const toml::table* table = nullptr;
+  const Layer* layer = nullptr;
+};
+
+// All profiles of all files; what is none is a fault.
+std::vector<Profile> profiles(const notation::Layers& layers, notation::Faults& faults) {
+  std::vector<Profile> all;
+  for (const auto& layer : layers) {
+    const toml::node* node = layer->table.get("profiles");
+    if (node != nullptr && !node->is_table()) {
+      faults.push_back({notation::position(node->source(), *layer), "profiles", "must be a table", "type"});
+    }
+    const toml::table* table = profiles_of(*layer);
+    if (table == nullptr) continue;
+    for (const auto& [key, entry] : *table) {
+      const std::string name(key.str());
+      if (!entry.is_table()) {
+        faults.push_back(
+            {notation::position(entry.source(), *layer), "profiles." + name, "must be a table", "type"});
+        continue;
+      }
+      for (const std::string& apart : kApart) {
+        const toml::node* stray = entry.as_table()->get(apart);
+        if (stray == nullptr) continue;
+        faults.push_back({notation::position(stray->source(), *layer), "profiles." + name + "." + apart,
+                          "can't stand in a profile", "unknown-key"});
+      }
+      all.push_back({name, entry.as_table(), layer.get()});
+    }
+  }
+  return all;
+}
+
+// The profile that counts; empty: none.
+std::string chosen_profile(const notation::Layers& layers, const std::vector<Profile>& all,
+                           Environment environment, Setup& setup) {
+  std::string name = variable(environment, "FERNWARD_PROFILE");
+  notation::Position at{layers.front()->file};
+  if (!name.empty()) setup.variables["profile"] = "FERNWARD_PROFILE";
+  for (const auto& layer : layers) {
+    const toml::node* node = layer->table.get("profile");
+    if (node == nullptr) continue;
+    const auto text = node->value_exact<std::string>();
+    if (!text || text->empty()) {
+      setup.faults.push_back({notation::position(node->source(), *layer), "profile",
+                              "must be the name of a profile, in quotes", "type"});
+    } else if (name.empty()) {
+      name = *text;
+      at = notation::position(node->source(), *layer);
+    }
+  }
+  const auto is = [&](const Profile& p) { return p.name == name; };
+  if (name.empty() || std::any_of(all.begin(), all.end(), is)) return name;
+  std::vector<std::string> names;
+  for (const Profile& p : all) names.push_back(p.name);
+  const std::string near = notation::nearest(name, names);
+  setup.faults.push_back(
+      {std::move(at), "profile",
+       "there is no profile " + notation::shown(name) + (near.empty() ? "" : "; is \"" + near + "\" meant?"),
+       "unknown-name"});
+  return "";
+}
+
+// A profile that does not count today counts tomorrow: its form is checked, as far as it can be by itself.
+void check_others(const std::vector<Profile>& all, const std::string& chosen, const App& app,
+                  notation::Faults& faults) {
+  for (const Profile& p : all) {
+    if (p.name == chosen) continue;
+    App scratch = app;
+    notation::Faults found;
+    notation::Places places;
+    const AppNames names(scratch);
+    notation::Reader reader({{p.table, p.layer}}, names, found, places, kApart);
+    describe(reader, scratch);
+    reader.close();
+    for (Fault& fault : found) {
+      if (fault.code == "missing" || fault.code == "unknown-name") continue;
+      fault.key = "profiles." + p.name + "." + fault.key;
+      faults.push_back(std::move(fault));
+    }
+  }
+}
+
+} // namespace
+
+notation::Position place_of(const Setup& setup, std::string member, const std::string& file) {
+  while (!member.empty()) {
+    if (const auto found = setup.places.find(member); found != setup.places.end()) return found->second;
+    const std::size_t cut = member.find_last_of(".[");
+    member = cut == std::string::npos ? "" : member.substr(0, cut);
+  }
+  return {file, 1, 1};
+}
+
+Setup read(std::string_view text, const std::string& file, Environment environment,
+           const notation::Loader& load) {
+  Setup setup;
+  notation::Layers layers;
+  const bool parsed = notation::parse_layers(std::string(text), file, "include", load, setup.faults, layers);
+  for (const auto& layer : layers) setup.files.push_back(layer->file);
+  if (!parsed) {
+    notation::tidy(setup.faults);
+    return setup;
+  }
+  const std::vector<Profile> all = profiles(layers, setup.faults);
+  setup.profile = chosen_profile(layers, all, environment, setup);
+  std::vector<Source> sources{{&layers.front()->table, layers.front().get()}};
+  for (const Profile& p : all) {
+    if (!setup.profile.empty() && p.name == setup.profile) sources.push_back({p.table, p.layer});
+  }
+  for (std::size_t i = 1; i < layers.size(); ++i) sources.push_back({&layers[i]->table, layers[i].get()});
+
+  const AppNames names(setup.app);
+  // What the environment gives need not stand in the file.
+  toml::table given;
+  for (const auto& [name, member] : {std::pair("NODE_NAME", "name"), {"NODE_LISTEN", "listen"}}) {
+    const std::string value = variable(environment, name);
+    if (value.empty()) continue;
+    given.insert(member, value);
+    setup.variables[member] = name;
+  }
+  if (const std::string value = variable(environment, "NODE_DISCOVERY"); !value.empty()) {
+    given.insert("fleet", toml::table{{"discovery", value}});
+    setup.variables["fleet.discovery"] = "NODE_DISCOVERY";
+  }
+  const Layer from_environment{"(environment)", {}};
+  sources.insert(sources.begin(), {&given, &from_environment});
+  notation::Reader reader(std::move(sources), names, setup.faults, setup.places, kApart);
+  describe(reader, setup.app);
+  const std::set<std::string> broken = reader.close();
+  for (Fault& fault : setup.faults) {
+    if (fault.at.file.empty() || (fault.at.file == from_environment.file && fault.code == "missing")) {
+      fault.at = {file, 1, 1}; // a part that no file gives
+    }
+  }
+  check_others(all, setup.profile, setup.app, setup.faults);
+  check_sound(setup, file, broken);
+  notation::tidy(setup.faults);
+  notation::tidy(setup.warnings);
+  return setup;
+}
+
+Setup read_file(const std::string& path, Environment environment) {
+  if (const auto text = notation::load_file(path)) return read(*text, path, environment);
+  Setup setup;
+  Fault& fault = setup.faults.emplace_back();
+  fault.at.file = path;
+  fault.key = "(file)";
+  fault.why = "can't be read, or is over 1 MiB";
+  fault.code = "unreadable";
+  return setup;
+}
+
+} // namespace fernward::setup
--- /dev/null
+++ b/src/setup/schema.cpp
@@ -0,0 +1,252 @@
+#include "setup/schema.h"
+
+#include <vector>
+
+#include "notation/writer.h"
+#include "setup/keys.h"
+
+namespace fernward::setup {
+namespace {
+
+using nlohmann::ordered_json;
+using notation::Table;
+using notation::Unit;
+using notation::Word;
+using notation::Words;
+
+const char* pattern_of(Unit unit) {
+  switch (unit) {
+    case Unit::Time: return "^[0-9.eE+-]+ *(us|ms|s|min|h|d)$|^0$";
+    case Unit::Bytes: return "^[0-9.eE+-]+ *(B|kB|MB|GB|KiB|MiB|GiB)$|^0$";
+    case Unit::Mebibytes: return "^[0-9.eE+-]+ *(MiB|GiB)$|^0$";
+    case Unit::Rate: return "^[0-9.eE+-]+ */(s|min|h)$|^0$";
+    case Unit::Share: return "^[0-9.eE+-]+ *%$|^0$";
+    case Unit::ShareRate: return "^[0-9.eE+-]+ *%/(s|min|h)$|^0$";
+    default: return "";
+  }
+}
+
+class Schema : public notation::Visitor {
+ public:
+  explicit Schema(const notation::Names& names) : names_(names) { open_.push_back(object()); }
+  ordered_json whole() const { return open_.front(); }
+
+  void amount(const char* member, double& value, Unit unit, const char* doc, Word word) override {
+    ordered_json made;
+    if (unit == Unit::Number) {
+      made = {{"type", "number"}, {"minimum", 0}};
+    } else if (unit == Unit::Share) {
+      made["anyOf"] = {{{"type", "number"}, {"minimum", 0}},
+                       {{"type", "string"}, {"pattern", pattern_of(unit)}}};
+    } else {
+      made["anyOf"] = {{{"const", 0}}, {{"type", "string"}, {"pattern", pattern_of(unit)}}};
+    }
+    if (word.text != nullptr) made["anyOf"].push_back({{"const", word.text}});
+    if (unit == Unit::Number) {
+      made["default"] = value;
+    } else {
+      made["default"] = notation::quantity_text(unit, value);
+    }
+    put(member, std::move(made), doc);
+  }
+  void count(const char* member, std::uint32_t& value, const char* doc, Unit unit) override {
+    if (unit != Unit::Number) {
+      ordered_json made;
+      made["anyOf"] = {{{"const", 0}}, {{"type", "string"}, {"pattern", pattern_of(unit)}}};
+      made["default"] = notation::quantity_text(unit, value);
+      return put(member, std::move(made), doc);
+    }
+    put(member, {{"type", "integer"}, {"minimum", 0}, {"maximum", 4294967295u}, {"default", value}}, doc);
+  }
+  void seed(const char* member, std::uint64_t& value, const char* doc) override {
+    put(member, {{"type", "integer"}, {"minimum", 0}, {"default", value}}, doc);
+  }
+  void text(const char* member, std::string& value, bool needed, const char* doc) override {
+    ordered_json made = {{"type", "string"}};
+    if (!value.empty()) made["default"] = value;
+    put(member, std::move(made), doc, needed);
+  }
+  void texts(const char* member, std::vector<std::string>& values, const char* doc) override {
+    ordered_json made = {{"type", "array"}, {"items", {{"type", "string"}}}};
+    if (!values.empty()) made["default"] = values;
+    put(member, std::move(made), doc);
+  }
+  void flag(const char* member, bool& value, const char* doc) override {
+    put(member, {{"type", "boolean"}, {"default", value}}, doc);
+  }
+  void choice(const char* member, std::size_t& value, Words words, bool needed, const char* doc) override {
+    ordered_json made = {{"enum", std::vector<std::string>(words.begin(), words.end())}};
+    if (!needed) made["default"] = words[value];
+    put(member, std::move(made), doc, needed);
+  }
+  void choices(const char* member, std::vector<std::size_t>&, Words words, const char* doc) override {
+    put(member,
+        {{"type", "array"}, {"items", {{"enum", std::vector<std::string>(words.begin(), words.end())}}}},
+        doc);
+  }
+  void ref(const char* member, std::uint32_t&, Table table, bool needed, const char* doc) override {
+    put(member, {{"type", "string"}}, std::string(doc) + " (" + names_.written(table) + ")", needed);
+  }
+  void refs(const char* member, std::vector<std::uint32_t>&, Table table, const char* doc) override {
+    put(member, {{"type", "array"}, {"items", {{"type", "string"}}}},
+        std::string(doc) + " (each " + names_.written(table) + ")");
+  }
+  bool present(const char*, bool) override { return without_default_ = true; }
+  void enter(const char* member, const char* doc) override { begin(member, doc, Kind::Table); }
+  void leave() override {
+    ordered_json made = std::move(open_.back());
+    const Frame frame = std::move(frames_.back());
+    open_.pop_back();
+    frames_.pop_back();
+    if (frame.kind == Kind::List) made = {{"type", "array"}, {"items", std::move(made)}};
+    if (frame.kind == Kind::Named) made = {{"type", "object"}, {"additionalProperties", std::move(made)}};
+    put(frame.member.c_str(), std::move(made), frame.doc);
+  }
+  std::size_t list(const char* member, std::size_t, const char* doc) override {
+    next_ = {member, doc, Kind::List};
+    return 1;
+  }
+  void item(const char*, std::size_t, const std::string&) override {
+    begin(next_.member.c_str(), next_.doc, next_.kind);
+  }
+  std::vector<std::string> named(const char* member, std::vector<std::string>, const char* doc) override {
+    next_ = {member, doc, Kind::Named};
+    return {"NAME"};
+  }
+
+ private:
+  enum class Kind { Table, List, Named };
+  struct Frame {
+    std::string member, doc;
+    Kind kind = Kind::Table;
+  };
+  static ordered_json object() {
+    return {{"type", "object"}, {"properties", ordered_json::object()}, {"additionalProperties", false}};
+  }
+  void begin(const char* member, const std::string& doc, Kind kind) {
+    frames_.push_back({member, doc, kind});
+    open_.push_back(object());
+  }
+  void put(const char* member, ordered_json made, const std::string& doc, bool needed = false) {
+    if (std::exchange(without_default_, false)) made.erase("default");
+    made["description"] = doc;
+    const std::string key = notation::key_of(member);
+    open_.back()["properties"][key] = std::move(made);
+    if (needed) open_.back()["required"].push_back(key);
+  }
+
+  const notation::Names& names_;
+  std::vector<ordered_json> open_;
+  std::vector<Frame> frames_;
+  Frame next_;
+  bool without_default_ = false;
+};
+
+} // namespace
+
+ordered_json schema() {
+  App app;
+  const AppNames names(app);
+  Schema visitor(names);
+  describe(visitor, app);
+  const ordered_json whole = visitor.whole();
+  // What a profile holds: the same, and nothing of it is needed there.
+  ordered_json parts = whole["properties"];
+  ordered_json made = {{"$schema", "https://json-schema.org/draft/2020-12/schema"},
+                       {"title", "fernward: one application's router"},
+                       {"type", "object"}};
+  ordered_json profile = {
+      {"type", "object"}, {"properties", ordered_json::object()}, {"additionalProperties", false}};
+  for (const auto& [key, value] : parts.items()) profile["properties"][key] = {{"$ref", "#/$defs/" + key}};
+  made["$defs"] = parts;
+  made["properties"] = profile["properties"];
+  made["properties"]["include"] = {
+      {"anyOf", {{{"type", "string"}}, {{"type", "array"}, {"items", {{"type", "string"}}}}}},
+      {"description", "files that supply what this one leaves out, the last one first"}};
+  made["properties"]["profile"] = {{"type", "string"}, {"description", "the profile that counts"}};
+  made["properties"]["profiles"] = {
+      {"type", "object"},
+      {"additionalProperties", profile},
+      {"description", "keys that go behind this file's and before its includes'"}};
+  made["additionalProperties"] = false;
+  return made;
+}
+
+std::string reference() {
+  App app;
+  const AppNames names(app);
+  const notation::Row top = notation::reference(names, [&](notation::Visitor& v) { describe(v, app); });
+  std::string out =
+      "### Top of the file\n\n| key | written as | default | meaning |\n| --- | --- | --- | --- |\n";
+  out +=
+      "| `include` | text, or list of texts |  | files that supply what this one leaves out, the last one "
+      "first |\n";
+  out +=
+      "| `profile` | text |  | the profile that counts: `[profiles.NAME]`, of this file or of one it "
+      "includes |\n";
+  out += notation::leading(top);
+  notation::sections(top, "", out);
+  return out;
+}
+
+const std::vector<Code>& codes() {
+  static const std::vector<Code> all{
+      {"syntax", "no TOML: cut off, a quote left open, a key given twice"},
+      {"unreadable", "the file can't be read, or is over 1 MiB"},
+      {"include", "a file that it includes can't be read, or they go round"},
+      {"unknown-key", "no key of that table; the nearest one is named"},
+      {"unknown-name", "a class, tenant, zone, kind or profile that the file does not have"},
+      {"missing", "a key that is needed"},
+      {"type", "a value of the wrong type, such as a number where text belongs"},
+      {"unit", "a quantity without its unit, or with one of another kind"},
+      {"value", "a value out of range"},
+      {"word", "none of the words that may stand there"},
+      {"name", "a name with letters that a header or a log line can't carry"},
+      {"twice", "the same name or address for two"},
+      {"address", "no address of the form 10.0.0.4:7070"},
+      {"no-source", "nothing tells where the nodes are"},
+      {"two-sources", "nodes come from two places"},
+      {"no-classes", "no class of requests"},
+      {"no-ledger", "the nodes are listed and the ledger is not among them"},
+      {"zone-empty", "warning: no node stands in the router's own zone"},
+      {"aim-past-give-up", "the aim is longer than clients wait"},
+      {"give-up-too-short", "clients wait no longer than the way to the farthest node and back"},
+      {"attempts-do-not-fit",
+       "so many attempts take longer than clients wait (warning, where `retries` is not given)"},
+      {"window-missing",
+       "a keyed class that may be sent again, without a window (warning, where `retries` is not given)"},
+      {"window-unused", "warning: a window where nothing is keyed"},
+      {"retry-past-window",
+       "repeats would be sent after the nodes have forgotten the key: carried out twice"},
+      {"retry-for-unkeyed", "`retry_for` where nothing is keyed"},
+      {"retry-unsafe", "retries of a class that must not be repeated"},
+      {"retries-past-most", "more retries than `attempts.most` allows"},
+      {"shares", "the tenants' shares come to more than the whole"},
+      {"read-as-write", "a GET is mapped to a class of writes, which go to the ledger"},
+      {"map-hidden", "warning: an entry of the map that never counts"},
+      {"timeout-past-give-up", "warning: a time that is cut to the class's give_up"},
+      {"tables", "descriptors or memory can't hold the tables asked for"},
+      {"ledger-only", "all or nearly all requests would go to the ledger; the share is told"},
+      {"ledger-much", "warning: over half of them would"},
+      {"ledger-overrun", "more would go there than it can take"},
+      {"listen-path", "no unix socket can be made there, or its path is over 107 bytes"},
+      {"listen-any", "warning: port 0"},
+      {"listen-elsewhere", "no address of this host (not with `--elsewhere`)"},
+      {"listen-taken", "another program serves there (not with `--elsewhere`)"},
+      {"listen-refused", "the system refuses the address (not with `--elsewhere`)"},
+      {"folder", "a folder is not there or not writable (not with `--elsewhere`)"},
+      {"no-file-yet", "warning: the file of nodes is not there (not with `--elsewhere`)"},
+      {"descriptors", "the system grants fewer descriptors (not with `--elsewhere`)"},
+      {"secret-readable",
+       "a variable that looks like a secret, in a file that others can read (not with `--elsewhere`)"},
+      {"more", "over 200 faults: the rest is counted"}};
+  return all;
+}
+
+std::string code_reference() {
+  std::string out = "| code | meaning |\n| --- | --- |\n";
+  for (const Code& code : codes()) out += std::string("| `") + code.code + "` | " + code.means + " |\n";
+  return out;
+}
+
+} // namespace fernward::setup
--- /dev/null
+++ b/src/setup/sound.h
@@ -0,0 +1,15 @@
+// Checks of sense: what reads well and still would not do. No look at this machine, see setup/host.h.
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "setup/read.h"
+
+namespace fernward::setup {
+
+// Adds to setup.faults and setup.warnings. `broken`: members whose values could not be read; nothing is concluded from
+// those.
+void check_sound(Setup& setup, const std::string& file, const std::set<std::string>& broken);
+
+} // namespace fernward::setup
--- a/src/spool/file.cpp
+++ b/src/spool/file.cpp
@@ -31,10 +31,9 @@
   if (works == !fails_) return;
   fails_ = !works;
   if (works) {
-    log::line("body folder %s works again", path_.c_str());
-  } else {
-    log::line("body folder %s: %s (%s): bodies that need it are passed on and not kept", path_.c_str(), what,
-              std::strerror(errno));
+    log::line("body-folder-works", {{"path", path_}});
+  } else { // bodies that need it are passed on and not kept
+    log::line("body-folder-fails", {{"path", path_}, {"what", what}, {"why", std::strerror(errno)}});
   }
 }
 
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -229,7 +229,7 @@
   const auto decode = [&](const std::string& text) {
     http::Parser parser(http::Kind::Request);
     parser.feed(text);
-    return ingress::decode(parser.take(), config.names, config.settings);
+    return ingress::decode(parser.take(), {config.names, config.settings, {}, false});
   };
   const auto read = decode(get("/api/7f?q=a/b", "r1", "X-Cost: 12500\r\nX-Attrs: a=b\r\n"));
   CHECK(read.status == 0);
--- /dev/null
+++ b/tests/net/program.h
@@ -0,0 +1,124 @@
+// The program as it is started in service, and what it says.
+#pragma once
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "peers.h"
+
+namespace fernward::tests {
+
+// A started program and what it has written to standard output and error.
+class Program {
+ public:
+  Program(const std::vector<std::string>& words, const Json& config,
+          const std::vector<std::string>& environment = {}) {
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    char path[] = "/tmp/fernward-test-XXXXXX";
+    const int file = mkstemp(path);
+    path_ = path;
+    std::ofstream(path_) << (config.is_string() ? config.get<std::string>() : config.dump());
+    close(file);
+    pid_ = fork();
+    if (pid_ == 0) {
+      dup2(ends[1], 1);
+      dup2(ends[1], 2);
+      for (int fd = 3; fd < 1024; ++fd) close(fd);
+      setenv("NODE_CONFIG", path_.c_str(), 1);
+      for (const char* name : {"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"}) unsetenv(name);
+      for (const auto& entry : environment) putenv(const_cast<char*>(entry.c_str()));
+      std::vector<char*> arguments = {const_cast<char*>(FERNWARD_PROGRAM)};
+      for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
+      arguments.push_back(nullptr);
+      execv(FERNWARD_PROGRAM, arguments.data());
+      _exit(127);
+    }
+    close(ends[1]);
+    out_ = ends[0];
+    fcntl(out_, F_SETFL, O_NONBLOCK);
+  }
+  ~Program() {
+    if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+    close(out_);
+    unlink(path_.c_str());
+  }
+  Program(const Program&) = delete;
+
+  void signal(int number) { kill(pid_, number); }
+  void rewrite(const std::string& config) { std::ofstream(path_) << config; }
+  std::size_t descriptors() const { // that it holds
+    const std::filesystem::directory_iterator open("/proc/" + std::to_string(pid_) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(open), end(open)));
+  }
+  void limit_descriptors(rlim_t most) {
+    rlimit limit{};
+    REQUIRE(prlimit(pid_, RLIMIT_NOFILE, nullptr, &limit) == 0);
+    limit.rlim_cur = most;
+    REQUIRE(prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr) == 0);
+  }
+  bool ended() { // its exit code is then in `code`, 128 and more for a signal
+    int status = 0;
+    if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+      code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+      pid_ = 0;
+    }
+    read_on();
+    return pid_ == 0;
+  }
+  bool says(const std::string& what) {
+    read_on();
+    return text.find(what) != std::string::npos;
+  }
+  int port() { // 0 until it serves
+    read_on();
+    const auto line = text.find("serves name="), at = text.find(" port=", line);
+    if (line == std::string::npos || at == std::string::npos || text.find('\n', at) == std::string::npos)
+      return 0;
+    return std::stoi(text.substr(at + 6));
+  }
+  std::string text;
+  int code = -1;
+
+ private:
+  void read_on() {
+    char bytes[4096];
+    for (ssize_t n; (n = read(out_, bytes, sizeof bytes)) > 0;)
+      text.append(bytes, static_cast<std::size_t>(n));
+  }
+  std::string path_;
+  pid_t pid_ = 0;
+  int out_ = -1;
+};
+
+// A folder of a test's own.
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/fernward-test-XXXXXX";
+    path = mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  Folder(const Folder&) = delete;
+  std::string operator/(const std::string& name) const { return path + "/" + name; }
+  std::string write(const std::string& name, const std::string& text) const {
+    std::ofstream(path + "/" + name, std::ios::binary) << text;
+    return path + "/" + name;
+  }
+  std::string path;
+};
+
+inline std::string text_of(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+} // namespace fernward::tests
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -1,101 +1,17 @@
 // The program as it is started in service: its command line, its configuration, its signals, its limits.
 #include <doctest/doctest.h>
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/resource.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
-#include <filesystem>
-#include <fstream>
+#include <algorithm>
 
 #include "peers.h"
+#include "program.h"
 
 using namespace fernward;
 using namespace fernward::tests;
 
 namespace {
 
-// A started program and what it has written to standard output and error.
-class Program {
- public:
-  Program(const std::vector<std::string>& words, const Json& config) {
-    int ends[2];
-    REQUIRE(pipe(ends) == 0);
-    char path[] = "/tmp/fernward-test-XXXXXX";
-    const int file = mkstemp(path);
-    path_ = path;
-    std::ofstream(path_) << (config.is_string() ? config.get<std::string>() : config.dump());
-    close(file);
-    pid_ = fork();
-    if (pid_ == 0) {
-      dup2(ends[1], 1);
-      dup2(ends[1], 2);
-      for (int fd = 3; fd < 1024; ++fd) close(fd);
-      setenv("NODE_CONFIG", path_.c_str(), 1);
-      for (const char* name : {"NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"}) unsetenv(name);
-      std::vector<char*> arguments = {const_cast<char*>(FERNWARD_PROGRAM)};
-      for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
-      arguments.push_back(nullptr);
-      execv(FERNWARD_PROGRAM, arguments.data());
-      _exit(127);
-    }
-    close(ends[1]);
-    out_ = ends[0];
-    fcntl(out_, F_SETFL, O_NONBLOCK);
-  }
-  ~Program() {
-    if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
-    close(out_);
-    unlink(path_.c_str());
-  }
-  Program(const Program&) = delete;
-
-  void signal(int number) { kill(pid_, number); }
-  void rewrite(const std::string& config) { std::ofstream(path_) << config; }
-  std::size_t descriptors() const { // that it holds
-    const std::filesystem::directory_iterator open("/proc/" + std::to_string(pid_) + "/fd");
-    return static_cast<std::size_t>(std::distance(begin(open), end(open)));
-  }
-  void limit_descriptors(rlim_t most) {
-    rlimit limit{};
-    REQUIRE(prlimit(pid_, RLIMIT_NOFILE, nullptr, &limit) == 0);
-    limit.rlim_cur = most;
-    REQUIRE(prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr) == 0);
-  }
-  bool ended() { // its exit code is then in `code`, 128 and more for a signal
-    int status = 0;
-    if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
-      code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-      pid_ = 0;
-    }
-    read_on();
-    return pid_ == 0;
-  }
-  bool says(const std::string& what) {
-    read_on();
-    return text.find(what) != std::string::npos;
-  }
-  int port() { // 0 until it serves
-    read_on();
-    const auto at = text.find(" serves on port ");
-    if (at == std::string::npos || text.find('\n', at) == std::string::npos) return 0;
-    return std::stoi(text.substr(at + 16));
-  }
-  std::string text;
-  int code = -1;
-
- private:
-  void read_on() {
-    char bytes[4096];
-    for (ssize_t n; (n = read(out_, bytes, sizeof bytes)) > 0;)
-      text.append(bytes, static_cast<std::size_t>(n));
-  }
-  std::string path_;
-  pid_t pid_ = 0;
-  int out_ = -1;
-};
-
 bool wait_end(Program& program) {
   const auto base = router::make_base();
   return run_until(base.get(), [&] { return program.ended(); });
@@ -162,7 +78,7 @@
   REQUIRE(s.until([&] { return s.cache.seen.size() == 1; }));
   program.signal(SIGTERM);
   Client late(s.base.get(), program.port());
-  REQUIRE(s.until([&] { return program.says("winds down"); }));
+  REQUIRE(s.until([&] { return program.says("winds-down"); }));
   s.cache.say(ok("in time"));
   REQUIRE(s.until([&] { return program.ended(); }));
   CHECK(program.code == 0);
@@ -188,11 +104,11 @@
 
   program.rewrite(config.dump().substr(1)); // faulty: nothing changes
   program.signal(SIGHUP);
-  REQUIRE(s.until([&] { return program.says("reload refused, the old configuration stays: NODE_CONFIG"); }));
+  REQUIRE(s.until([&] { return program.says("reload-refused why=\"NODE_CONFIG"); }));
   config["discovery"] = "nowhere";
   program.rewrite(config.dump());
   program.signal(SIGHUP);
-  REQUIRE(s.until([&] { return program.says("reload refused, the old configuration stays: discovery"); }));
+  REQUIRE(s.until([&] { return program.says("reload-refused why=\"discovery"); }));
   CHECK(client.ask(get("/k/1", "r2")).body == "v of /k/1");
 
   s.cache.script = [](const http::Message&) { return std::string(); };
@@ -202,10 +118,10 @@
   config["settings"]["limits"]["max_attempts"] = 2;
   program.rewrite(config.dump());
   program.signal(SIGHUP);
-  REQUIRE(s.until([&] { return program.says("reload: discovery moves from " + s.discovery.address); }));
-  CHECK(program.says("reload: settings.limits.max_attempts holds until the next start"));
+  REQUIRE(s.until([&] { return program.says("reload-discovery-moves from=" + s.discovery.address); }));
+  CHECK(program.says("reload-holds-until-start key=settings.limits.max_attempts"));
   s.discovery.refuse();
-  REQUIRE(s.until([&] { return program.says("discovery connection ended: code=connect-failed"); }));
+  REQUIRE(s.until([&] { return program.says("discovery-ended code=connect-failed"); }));
   s.cache.say(ok("in time")); // to the request that was out all the while
   REQUIRE(s.until([&] { return !waiting.answers.empty(); }));
   CHECK(waiting.answers[0].body == "in time");
@@ -213,7 +129,7 @@
   CHECK(client.ask(get("/k/1", "r4")).body == "v of /k/1"); // the list stands without any discovery
 
   up = true;
-  REQUIRE(s.until([&] { return program.says("follows discovery at " + next.address); }));
+  REQUIRE(s.until([&] { return program.says("address=" + next.address); }));
   CHECK(client.ask(get("/k/1", "r5")).body == "other's /k/1"); // a whole list: s-1 is gone
   CHECK_FALSE(client.closed);
   program.signal(SIGHUP);
@@ -248,7 +164,7 @@
   {
     std::vector<std::unique_ptr<Client>> crowd;
     for (int i = 0; i < 60; ++i) crowd.push_back(std::make_unique<Client>(s.base.get(), port));
-    REQUIRE(s.until([&] { return program.says("descriptors refused by the system"); }));
+    REQUIRE(s.until([&] { return program.says("descriptors-refused"); }));
     run_for(s.base.get(), 300);
     program.port(); // reads on
     std::size_t lines = 0;
@@ -346,7 +262,7 @@
   config["limits"]["answer_bytes"] = 1; // holds until the next start
   program.rewrite(config.dump());
   program.signal(SIGHUP);
-  REQUIRE(s.until([&] { return program.says("reload: limits.answer_bytes holds until the next start"); }));
+  REQUIRE(s.until([&] { return program.says("reload-holds-until-start key=limits.answer_bytes"); }));
   program.signal(SIGTERM);
   REQUIRE(s.until([&] { return idle.closed; })); // as the listening socket is
   CHECK_FALSE(program.ended());
--- /dev/null
+++ b/tests/setup/config_command_test.cpp
@@ -0,0 +1,155 @@
+// `fernward config` and `fernward serve --config` as a user runs them.
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+#include "corpus.h"
+#include "program.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+
+namespace {
+
+struct Said {
+  int code = -1;
+  std::string text;
+  bool has(const std::string& part) const { return text.find(part) != std::string::npos; }
+};
+
+Said ask(const std::string& arguments, const std::string& before = "") {
+  const Folder folder;
+  const int status = std::system(
+      (before + " " FERNWARD_PROGRAM " config " + arguments + " >" + folder / "out" + " 2>&1").c_str());
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, text_of(folder / "out")};
+}
+
+const std::string kGood = FERNWARD_SOURCE_DIR "/tests/corpus/config/good/";
+const std::string kBroken = FERNWARD_SOURCE_DIR "/tests/corpus/config/broken/";
+
+} // namespace
+
+TEST_CASE("wrong usage ends with 2, faults with 1 and every one of them named") {
+  const struct {
+    std::string arguments;
+    int code;
+    const char* says;
+  } cases[] = {
+      {"", 2, "no command"},
+      {"mend", 2, "no command \"mend\""},
+      {"check", 2, "wanted: FILE..."},
+      {"check --format xml " + kGood + "least.toml", 2, "text or json"},
+      {"check --elsewhere " + kGood + "whole.toml", 0, "whole.toml: sound"},
+      {"check /nowhere.toml", 1, "/nowhere.toml:1:1: unreadable: (file): can't be read"},
+      {"check --elsewhere " + kBroken + "shares.toml", 1,
+       "shares.toml:45:9: shares: tenants.agents.share: the shares of all tenants come to 110%"},
+      {"check --elsewhere " + kBroken + "no-zones.toml", 1, "no-zones.toml:20:8: unknown-name"},
+      {"explain " + kGood + "whole.toml", 0, "with the same key, within 800ms of it"},
+      {"explain " + kGood + "whole.toml", 0, "About 5.0% of the requests reach it"},
+      {"explain " + kBroken + "shares.toml", 1, "shares.toml:45:9"},
+      {"diff " + kGood + "whole.toml " + kGood + "retries-none.toml", 0,
+       "classes.book.retries: 2 -> 0 (reload)"},
+      {"diff " + kGood + "whole.toml " + kGood + "tier.toml", 0, "a restart is needed"},
+      {"diff " + kGood + "whole.toml", 2, "wanted: OLD NEW"},
+      {"render " + kGood + "whole.toml", 0, "\"dedup_scope\": \"all\""},
+      {"schema", 0, "json-schema.org"},
+      {"reference", 0, "| `retry-past-window` |"},
+      {"new", 2, "nodes come from one source"},
+      {"new --discovery 127.0.0.1:8500 --node 127.0.0.1:1", 2, "one source"},
+      {"new --node nowhere", 1, "address: fleet.nodes.cache-1.address"},
+  };
+  for (const auto& c : cases) {
+    const Said said = ask(c.arguments, "</dev/null");
+    INFO(c.arguments << "\n" << said.text);
+    CHECK(said.code == c.code);
+    CHECK(said.has(c.says));
+  }
+  const auto found =
+      nlohmann::json::parse(ask("check --elsewhere --format json " + kBroken + "no-zones.toml").text);
+  CHECK(found.size() == 3);
+  CHECK(found[0]["line"] == 5);
+  CHECK(found[0]["severity"] == "error");
+}
+
+TEST_CASE("new files pass their own check; one that is there stays whole when the disk is full") {
+  const Folder folder;
+  const std::string out = folder / "app.toml";
+  for (const char* how : {"--node 127.0.0.1:9001 --ledger 127.0.0.1:9002", "--node 127.0.0.1:9001",
+                          "--discovery 127.0.0.1:8500", "--nodes-file /tmp/nodes.json --no-ledger"}) {
+    CAPTURE(how);
+    CHECK(ask(std::string("new --force --name x --listen 127.0.0.1:0 --out ") + out + " " + how).code == 0);
+    const Said said = ask("check " + out);
+    INFO(said.text);
+    CHECK(said.code == 0);
+  }
+  const std::string was = text_of(out);
+  CHECK(ask("new --node 127.0.0.1:1 --out " + out).has("there already"));
+  // A file of more than a block can't be written.
+  const Said full = ask("new --force --node 127.0.0.1:1 --out " + out, "trap '' XFSZ; ulimit -f 1;");
+  CHECK(full.code == 1);
+  CHECK(full.has("what was there is as it was"));
+  CHECK(text_of(out) == was);
+  CHECK(std::distance(std::filesystem::directory_iterator(folder.path), {}) ==
+        1); // and nothing is left beside it
+}
+
+TEST_CASE("every good file starts a router") {
+  const router::BasePtr base = router::make_base();
+  for (const std::string& file : corpus("good")) {
+    CAPTURE(file);
+    std::vector<std::string> environment;
+    if (!file.ends_with("unix-socket.toml")) environment.push_back("NODE_LISTEN=127.0.0.1:0");
+    Program program({"serve", "--config", file}, Json::object(), environment);
+    const bool json = file.ends_with("log-json.toml");
+    const bool up = run_until(base.get(), [&] {
+      return program.says(json ? "{\"event\":\"serves\",\"name\":" : "serves name=") || program.ended();
+    });
+    INFO(program.text);
+    CHECK(up);
+    CHECK_FALSE(program.ended());
+  }
+}
+
+TEST_CASE("a node list in a file: it is followed as it changes, and a damaged one changes nothing") {
+  const router::BasePtr base = router::make_base();
+  const auto answers = [&](const std::string& what) {
+    return [what](const http::Message&) { return ok(what); };
+  };
+  Peer a(base.get(), answers("a")), b(base.get(), answers("b"));
+  const Folder folder;
+  const std::string list = folder / "nodes.json";
+  const auto entry = [](const std::string& name, const Peer& peer) {
+    return Json{{"name", name},
+                {"address", peer.address},
+                {"zone", "here"},
+                {"type", "node"},
+                {"status", "in_service"}};
+  };
+  const std::string file = folder.write(
+      "app.toml",
+      "name = \"a\"\nlisten = \"127.0.0.1:0\"\nmake_ids = true\n[fleet]\nfile = \"" + list +
+          "\"\n[classes.any]\ngive_up = \"2s\"\nrepeat = \"safe\"\n[[map]]\npath = \"/\"\nclass = \"any\"\n");
+  Program program({"serve", "--config", file}, Json::object());
+  REQUIRE(run_until(base.get(), [&] { return program.port() != 0; }));
+  Client client(base.get(), program.port());
+  CHECK(client.ask("GET /ready HTTP/1.1\r\n\r\n").status == 503); // the file is not there
+  const auto put = [&](const std::string& text) {
+    folder.write("nodes.json.new", text);
+    std::filesystem::rename(folder / "nodes.json.new", list);
+  };
+  const auto becomes = [&](const std::string& body) {
+    return run_until(base.get(), [&] {
+      Client asking(base.get(), program.port());
+      return asking.ask("GET /k/1 HTTP/1.1\r\n\r\n").body == body; // without an id, a class or a time
+    });
+  };
+  put(Json::array({entry("n-a", a)}).dump());
+  CHECK(becomes("a"));
+  put("[{\"name\":");
+  CHECK(run_until(base.get(), [&] { return program.says("list-file-damaged"); }));
+  CHECK(becomes("a"));
+  put(Json{{"endpoints", Json::array({entry("n-b", b)})}}.dump());
+  CHECK(becomes("b"));
+  CHECK(program.says("list-file-sound"));
+}
--- /dev/null
+++ b/tests/setup/mutants_test.cpp
@@ -0,0 +1,97 @@
+// Each key of each good file, dropped, doubled, misspelt and retyped: a mutant is refused at the right line, or it is
+// shown to be harmless.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "corpus.h"
+#include "program.h"
+#include "setup/explain.h"
+#include "setup/read.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+
+namespace {
+
+const char* nothing(const char*) { return nullptr; }
+
+struct Line {
+  std::string key, value; // of `key = value` in one line
+};
+
+bool parse(const std::string& line, Line& into) {
+  const auto equals = line.find(" = ");
+  if (equals == std::string::npos || line.front() == '#' || line.front() == '[') return false;
+  into = {line.substr(0, equals), line.substr(equals + 3)};
+  return into.value.front() != '{';
+}
+
+std::string retyped(const std::string& value) {
+  if (value.front() == '"') return "20261201";
+  if (value.front() == '[') return "5";
+  if (value == "true" || value == "false") return "\"" + value + "\"";
+  return "\"many\"";
+}
+
+} // namespace
+
+TEST_CASE("mutants of good files") {
+  struct Count {
+    int made = 0, refused = 0, harmless = 0;
+  };
+  std::map<std::string, Count> counts;
+  for (const std::string& file : corpus("good")) {
+    std::vector<std::string> lines;
+    std::istringstream in(text_of(file));
+    for (std::string line; std::getline(in, line);) lines.push_back(line);
+    const auto original = setup::read_file(file, &nothing);
+    REQUIRE(original.sound());
+    for (std::size_t at = 0; at < lines.size(); ++at) {
+      std::string plain = lines[at];
+      if (plain.ends_with('\r')) plain.pop_back();
+      Line line;
+      if (plain.empty() || !parse(plain, line)) continue;
+      for (const std::string how : {"drop", "double", "misspell", "retype"}) {
+        auto mutant = lines;
+        if (how == "drop") mutant.erase(mutant.begin() + static_cast<std::ptrdiff_t>(at));
+        if (how == "double") mutant.insert(mutant.begin() + static_cast<std::ptrdiff_t>(at), lines[at]);
+        if (how == "misspell") mutant[at] = line.key + "q = " + line.value;
+        if (how == "retype") mutant[at] = line.key + " = " + retyped(line.value);
+        std::string text;
+        for (const auto& l : mutant) text += l + "\n";
+        const auto made = setup::read(text, file, &nothing);
+        Count& count = counts[how];
+        ++count.made;
+        INFO(file << ":" << at + 1 << " " << how << " " << lines[at]);
+        if (!made.sound()) {
+          ++count.refused;
+          // Dropped, it is missed in its table or by what names it; else the line itself is at fault.
+          const unsigned wanted = static_cast<unsigned>(at + (how == "double" ? 2 : 1));
+          const bool here = std::any_of(made.faults.begin(), made.faults.end(), [&](const auto& f) {
+            return f.at.file == file && f.at.line == wanted;
+          });
+          CHECK((here || how == "drop"));
+          continue;
+        }
+        // Harmless: only what the line itself gives may have changed, to what counts without it.
+        CHECK(how == "drop");
+        ++count.harmless;
+        for (const auto& change : setup::changes(original.app, made.app)) {
+          const std::string key = change.key.substr(change.key.rfind('.') + 1);
+          const bool own = line.key.ends_with(key) || line.key == "include" || line.key == "profile" ||
+                           change.key.find(line.key) != std::string::npos;
+          CHECK_MESSAGE(own, change.key);
+        }
+      }
+    }
+  }
+  for (const auto& [how, count] : counts) {
+    MESSAGE(how << ": " << count.made << " mutants, " << count.refused << " refused, " << count.harmless
+                << " harmless (" << 100 * count.refused / count.made << "% refused)");
+    if (how != "drop") CHECK(count.refused == count.made);
+  }
+}
--- /dev/null
+++ b/tests/setup/setup_test.cpp
@@ -0,0 +1,296 @@
+// An application's file: what is wrong is named where it stands, what is sound comes out as it went in.
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <fstream>
+#include <list>
+#include <random>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <unordered_map>
+
+#include "config/config.h"
+#include "corpus.h"
+#include "notation/writer.h"
+#include "program.h"
+#include "setup/explain.h"
+#include "setup/host.h"
+#include "setup/keys.h"
+#include "setup/ledger.h"
+#include "setup/read.h"
+#include "setup/render.h"
+#include "setup/schema.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+
+namespace {
+
+const char* nothing(const char*) { return nullptr; }
+
+std::string shown(const notation::Faults& faults) {
+  std::string all;
+  for (const auto& fault : faults) all += fault.coded() + "\n";
+  return all;
+}
+
+std::string as_file(setup::App app) {
+  const setup::AppNames names(app);
+  return notation::written(names, [&](notation::Visitor& v) { describe(v, app); });
+}
+
+setup::App app_of(const std::string& text) {
+  const auto made = setup::read(text, "app.toml", &nothing, nullptr);
+  INFO(shown(made.faults));
+  REQUIRE(made.sound());
+  return made.app;
+}
+
+const std::string kLeast =
+    "name = \"a\"\nlisten = \"127.0.0.1:7070\"\n[fleet.nodes.n]\naddress = \"127.0.0.1:9001\"\n"
+    "[classes.any]\ngive_up = \"1s\"\nrepeat = \"safe\"\n";
+
+} // namespace
+
+// guards: a broken file that is taken, or refused with the wrong word or place
+TEST_CASE("every broken file is refused for the reason that stands in it, at that place") {
+  std::set<std::string> seen;
+  const auto files = corpus("broken");
+  for (const std::string& file : files) {
+    CAPTURE(file);
+    std::multiset<std::string> expected, found;
+    const std::regex mark("# expect: (.*)");
+    std::istringstream lines(text_of(file));
+    for (std::string line; std::getline(lines, line);) {
+      std::smatch m;
+      if (std::regex_match(line, m, mark)) expected.insert(m[1]);
+    }
+    REQUIRE_FALSE(expected.empty());
+    const auto made = setup::read_file(file, &nothing);
+    for (const auto& f : made.faults) {
+      const std::string base = std::filesystem::path(f.at.file).filename().string();
+      found.insert(f.code + " " + std::to_string(f.at.line) + ":" + std::to_string(f.at.column) +
+                   (file.ends_with("/" + base) ? "" : " in " + base));
+      seen.insert(f.code);
+    }
+    INFO(shown(made.faults));
+    CHECK(found == expected);
+  }
+  CHECK(files.size() >= 120);
+  MESSAGE(files.size() << " broken files, " << seen.size() << " codes");
+  // Every code of a fault that needs no look at the machine is met by some file.
+  for (const auto& code : setup::codes()) {
+    const std::string means = code.means;
+    const bool warning = means.starts_with("warning"), host = means.ends_with("(not with `--elsewhere`)");
+    const bool other = std::string(code.code) == "unreadable" || std::string(code.code) == "more";
+    if (!warning && !host && !other) CHECK_MESSAGE(seen.contains(code.code), code.code);
+  }
+}
+
+TEST_CASE("every good file is sound, comes back as it was written, and is one the router takes") {
+  const auto files = corpus("good");
+  CHECK(files.size() >= 30);
+  for (const std::string& file : files) {
+    CAPTURE(file);
+    const auto made = setup::read_file(file, &nothing);
+    INFO(shown(made.faults));
+    REQUIRE(made.sound());
+    const std::string written = as_file(made.app);
+    const auto again = setup::read(written, "again.toml", &nothing, nullptr);
+    INFO(shown(again.faults) << written);
+    REQUIRE(again.sound());
+    CHECK(as_file(again.app) == written);
+    CHECK(setup::changes(made.app, again.app).empty());
+    const config::Config config = config::parse(setup::render(made.app).dump(), &nothing);
+    CHECK(config.name == made.app.name);
+    CHECK(config.names.classes.size() == made.app.classes.size());
+  }
+}
+
+TEST_CASE("a file cut off at any byte is read without a crash, and never half taken") {
+  const std::string whole =
+      text_of(corpus("good").back()) + text_of(FERNWARD_SOURCE_DIR "/tests/corpus/config/good/whole.toml");
+  for (const std::string& text :
+       {text_of(FERNWARD_SOURCE_DIR "/tests/corpus/config/good/whole.toml"), kLeast}) {
+    for (std::size_t cut = 0; cut < text.size(); ++cut) {
+      const auto made = setup::read(text.substr(0, cut), "cut.toml", &nothing, nullptr);
+      // What is sound when cut is a whole file of its own.
+      if (made.sound()) CHECK(setup::read(as_file(made.app), "again.toml", &nothing, nullptr).sound());
+    }
+  }
+}
+
+TEST_CASE("ten megabytes, or tables without end, are refused at once") {
+  const Folder folder;
+  std::string nested;
+  while (nested.size() < 10u << 20) nested += "[a.b.c.d.e.f.g.h]\nx = [[[[[[[[1]]]]]]]]\n";
+  const auto large = setup::read_file(folder.write("large.toml", nested), &nothing);
+  REQUIRE(large.faults.size() == 1);
+  CHECK(large.faults[0].code == "unreadable");
+  for (const char* open : {"[", "{a=", "a."}) {
+    std::string deep = "x = ";
+    for (int i = 0; i < 200000; ++i) deep += open;
+    CHECK_FALSE(setup::read(deep, "deep.toml", &nothing, nullptr).sound());
+  }
+}
+
+// guards: a value whose origin is not what the page says
+TEST_CASE("what goes before what") {
+  const Folder folder;
+  folder.write(
+      "first.toml",
+      "[limits]\nsockets = 101\nopen = 11\n[attempts]\nmost = 11\n[profiles.busy.limits]\nsockets = 301\n");
+  folder.write("second.toml", "[limits]\nsockets = 102\nopen = 12\n");
+  const std::string own = "include = [\"first.toml\", \"second.toml\"]\n" + kLeast;
+  const auto read = [&](const std::string& text, setup::Environment environment = &nothing) {
+    auto made = setup::read_file(folder.write("app.toml", text), environment);
+    INFO(shown(made.faults));
+    CHECK(made.sound());
+    return made;
+  };
+  CHECK(read(kLeast).app.limits.sockets == 1024);
+  CHECK(read(own).app.limits.sockets == 102); // the last include first
+  CHECK(read(own).app.attempts.most == 11);   // and what it leaves out from the one before
+  CHECK(read("profile = \"busy\"\n" + own).app.limits.sockets == 301);
+  CHECK(read("profile = \"busy\"\n" + own).app.limits.open == 12);
+  CHECK(read("profile = \"busy\"\n" + own + "[limits]\nsockets = 400\n").app.limits.sockets == 400);
+  const auto with = read(own, [](const char* name) -> const char* {
+    const std::string n = name;
+    return n == "FERNWARD_PROFILE" ? "busy"
+           : n == "NODE_LISTEN"    ? "127.0.0.1:1"
+           : n == "NODE_NAME"      ? ""
+                                   : nullptr;
+  });
+  CHECK(with.app.limits.sockets == 301);
+  CHECK(with.app.listen == "127.0.0.1:1");
+  CHECK(with.app.name == "a"); // set and empty is not set
+  std::map<std::string, std::string> from;
+  for (const auto& v : setup::values(with)) from[v.key] = v.from;
+  CHECK(from["listen"] == "NODE_LISTEN");
+  CHECK(from["limits.sockets"].find("first.toml:7:11") != std::string::npos);
+  CHECK(from["limits.open"].find("second.toml:3:8") != std::string::npos);
+  CHECK(from["limits.memory"] == "default");
+}
+
+TEST_CASE("schema, reference and reader know the same keys") {
+  const auto schema = setup::schema();
+  std::size_t keys = 0;
+  const std::string reference = setup::reference();
+  setup::App app = app_of(text_of(FERNWARD_SOURCE_DIR "/tests/corpus/config/good/whole.toml"));
+  for (const auto& leaf :
+       notation::leaves(setup::AppNames(app), [&](notation::Visitor& v) { describe(v, app); })) {
+    const nlohmann::ordered_json* at = &schema;
+    std::istringstream steps(leaf.key);
+    std::string last;
+    for (std::string step; std::getline(steps, step, '.');) {
+      const std::string name = step.substr(0, step.find('['));
+      const bool top = at == &schema;
+      if (!top && at->contains("additionalProperties") && at->at("additionalProperties").is_object()) {
+        at = &at->at("additionalProperties"); // a name
+      } else {
+        CAPTURE(leaf.key);
+        const auto& properties = top ? schema.at("$defs") : at->at("properties");
+        REQUIRE(properties.contains(name));
+        at = &properties.at(name);
+        if (at->contains("items") && step != name) at = &at->at("items");
+      }
+      last = name;
+    }
+    CHECK(reference.find("`" + last + "`") != std::string::npos);
+    ++keys;
+  }
+  CHECK(keys > 60);
+  // The page for operators is what the program prints.
+  const std::string page = text_of(FERNWARD_SOURCE_DIR "/docs/operators/config-reference.md");
+  CHECK(page.find(setup::reference()) != std::string::npos);
+  CHECK(page.find(setup::code_reference()) != std::string::npos);
+}
+
+TEST_CASE("the share of requests at the ledger: a cache that is simulated, writes, and what has no room") {
+  std::mt19937 draw(7);
+  for (const auto& [keys, zipf, held] :
+       {std::tuple(1000u, 1.0, 100u), {5000u, 0.8, 1000u}, {300u, 0.6, 30u}}) {
+    std::vector<double> weights;
+    for (std::uint32_t k = 1; k <= keys; ++k) weights.push_back(std::pow(k, -zipf));
+    std::discrete_distribution<std::uint32_t> pick(weights.begin(), weights.end());
+    std::list<std::uint32_t> order;
+    std::unordered_map<std::uint32_t, std::list<std::uint32_t>::iterator> at;
+    int hits = 0, counted = 0;
+    for (int i = 0; i < 120000; ++i) {
+      const std::uint32_t key = pick(draw);
+      const auto found = at.find(key);
+      if (i >= 20000) ++counted, hits += found != at.end();
+      if (found != at.end()) {
+        order.splice(order.begin(), order, found->second);
+        continue;
+      }
+      order.push_front(key);
+      at[key] = order.begin();
+      if (order.size() > held) at.erase(order.back()), order.pop_back();
+    }
+    CHECK(std::fabs(setup::lru_hits(keys, zipf, held) - static_cast<double>(hits) / counted) < 0.02);
+  }
+  setup::App app = app_of(text_of(FERNWARD_SOURCE_DIR "/tests/corpus/config/good/whole.toml"));
+  const auto load = setup::ledger_load(app); // 5% writes; 128 MB hold all 20,000 keys of 4 kB
+  CHECK(load.share == doctest::Approx(0.05));
+  app.expect.rate_per_s = 16000; // x 2 ms: 32 cores' work, of which reads want 30.4, and there are 8
+  CHECK(setup::ledger_load(app).no_room == doctest::Approx(0.95 * (1 - 8 / 30.4)));
+}
+
+TEST_CASE("what a reload takes: whole or not at all, and classes keep their numbers") {
+  const auto config = [](const std::string& more, const std::string& base = kLeast) {
+    return config::parse(setup::render(app_of(base + more)).dump(), &nothing);
+  };
+  const auto now =
+      config("[classes.book]\ngive_up = \"1s\"\nrepeat = \"unsafe\"\n[tenants.t]\nshare = 0.5\n");
+  REQUIRE(now.names.classes == std::vector<std::string>{"any", "book"});
+  // "book" is renamed, "aaa" is new: the numbers of the old ones stay.
+  const auto next = config(
+      "[classes.booking]\ngive_up = \"2s\"\nrepeat = \"unsafe\"\n[classes.aaa]\ngive_up = \"3s\"\nrepeat = "
+      "\"safe\"\n[attempts]\nmost = 2\n");
+  const auto moved = config::moved(now, next);
+  CHECK(moved.names.classes == std::vector<std::string>{"any", "\nbook", "aaa", "booking"});
+  CHECK(moved.settings.classes[1].give_up_ms == 1000);
+  CHECK(moved.settings.classes[2].give_up_ms == 3000);
+  CHECK(moved.settings.max_attempts == 2);
+  CHECK(moved.names.tenants == std::vector<std::string>{"\nt"});
+  const auto back = config::moved(moved, now); // and it is back under its old number
+  CHECK(back.names.classes == std::vector<std::string>{"any", "book", "\naaa", "\nbooking"});
+  const auto twice = config::moved(back, now);
+  CHECK(twice.names.classes == back.names.classes);
+  for (const char* more :
+       {"[limits]\nsockets = 500\n", "[tier]\nrouters = 3\n", "[attempts]\nidle = \"3s\"\n", "seed = 4\n"}) {
+    if (std::string(more).starts_with("seed")) continue; // counts at a start only, as of the platform's file
+    CAPTURE(more);
+    CHECK_THROWS_AS(config::moved(now, config(more)), config::Error);
+  }
+}
+
+TEST_CASE("held against this machine: taken addresses, folders, descriptors, secrets") {
+  const router::BasePtr base = router::make_base();
+  const Peer taken(base.get(), [](const http::Message&) { return std::string(); });
+  const Folder folder;
+  const auto codes = [&](const std::string& listen, const std::string& more, mode_t mode = 0600) {
+    std::string text = kLeast;
+    text.replace(text.find("127.0.0.1:7070"), 14, listen);
+    const std::string path = folder.write("app.toml", text + more);
+    chmod(path.c_str(), mode);
+    auto made = setup::read_file(path, &nothing);
+    REQUIRE(made.sound());
+    setup::check_host(made, path);
+    std::string all;
+    for (const auto& f : made.faults) all += (all.empty() ? "" : " ") + f.code;
+    return all;
+  };
+  const std::string secret = "[application]\nenvironment = [\"DB_PASSWORD=x\"]\n";
+  CHECK(codes("127.0.0.1:0", "") == "");
+  CHECK(codes(taken.address, "") == "listen-taken");
+  CHECK(codes("192.0.2.1:7070", "") == "listen-elsewhere");
+  CHECK(codes("unix:/nowhere/x.sock", "") == "listen-path");
+  CHECK(codes("unix:" + folder.path + "/app.toml", "") == "listen-path"); // a file of another kind
+  CHECK(codes("127.0.0.1:0", "[limits]\nbody_folder = \"/nowhere\"\n") == "folder");
+  CHECK(codes("127.0.0.1:0", "[limits]\nsockets = 4000000000\nmemory = \"30000000MiB\"\n") == "descriptors");
+  CHECK(codes("127.0.0.1:0", secret) == "");
+  CHECK(codes("127.0.0.1:0", secret, 0644) == "secret-readable");
+}
--- /dev/null
+++ b/tests/sidecar/sidecar_test.cpp
@@ -0,0 +1,279 @@
+// The real program beside real applications: order, crashes, claims, reloads.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "program.h"
+#include "sidecar/claim.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+
+namespace {
+
+int free_port() {
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof where;
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  bind(fd, reinterpret_cast<sockaddr*>(&where), size);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size);
+  close(fd);
+  return ntohs(where.sin_port);
+}
+
+struct Beside {
+  router::BasePtr base = router::make_base();
+  Peer node{base.get(), [](const http::Message& m) { return ok("v of " + m.target); }};
+  Folder folder;
+  int port = free_port();
+
+  std::string text(const std::string& name, const std::string& more = "",
+                   const std::string& cls = "read") const {
+    return "name = \"" + name + "\"\nlisten = \"127.0.0.1:" + std::to_string(port) +
+           "\"\n[fleet.nodes.n-1]\naddress = \"" + node.address + "\"\n[classes." + cls +
+           "]\ngive_up = \"10s\"\nrepeat = \"safe\"\n[application]\nruntime_folder = \"" + folder.path +
+           "\"\nstop = \"400ms\"\n" + more;
+  }
+  std::vector<std::string> words(const std::string& file, const std::string& script) const {
+    return {"sidecar", "--config", file, "--", "/bin/sh", "-c", script};
+  }
+  bool until(const std::function<bool()>& done) { return run_until(base.get(), done); }
+  // The process that a line tells of: "EVENT process=N".
+  static pid_t process(Program& program, const std::string& event) {
+    const auto at = program.text.rfind(event + " process=");
+    return at == std::string::npos ? 0 : std::stoi(program.text.substr(at + event.size() + 9));
+  }
+};
+
+std::string read_of(const std::string& id) { // as get() of peers.h, for the class "read"
+  return "GET /k/1 HTTP/1.1\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: read\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("the application starts with a router that is ready, and its exit code is the sidecar's") {
+  Beside s;
+  const std::string file = s.folder.write("app.toml", s.text("bookings", "environment = [\"MODE=fast\"]\n"));
+  Program program(s.words(file, "echo at=$FERNWARD_ADDRESS mode=$MODE; exit 7"), Json::object());
+  REQUIRE(s.until([&] { return program.ended(); }));
+  INFO(program.text);
+  CHECK(program.code == 7);
+  CHECK(program.says("at=127.0.0.1:" + std::to_string(s.port) + " mode=fast"));
+  CHECK(program.text.find("serves name=bookings") < program.text.find("at=127"));
+  CHECK(program.text.find("sidecar-application-ended") < program.text.find("winds-down"));
+  Program missing({"sidecar", "--config", file, "--", "/no/such/program"}, Json::object());
+  REQUIRE(s.until([&] { return missing.ended(); }));
+  CHECK(missing.code == 127);
+}
+
+TEST_CASE("wrong usage, and files that won't do") {
+  Beside s;
+  const auto run = [&](const std::vector<std::string>& words) {
+    Program program(words, Json::object());
+    REQUIRE(s.until([&] { return program.ended(); }));
+    return std::pair(program.code, program.text);
+  };
+  CHECK(run({"sidecar", "--", "true"}).first == 2);
+  CHECK(run({"sidecar", "--config", "/nowhere"}).first == 2);
+  CHECK(run({"sidecar", "--config", "/nowhere", "--", "true"}).first == 1);
+  // guards: every request of an application sent to the ledger
+  const std::string ledger =
+      s.folder.write("ledger.toml", s.text("a", "[fleet]\nledger = \"slots\"\n[fleet.kinds.slots]\n"));
+  const auto [code, text] = run(s.words(ledger, "echo begun"));
+  INFO(text);
+  CHECK(code == 1);
+  CHECK(text.find("ledger-only: fleet.ledger: 100% of the requests would go to the ledger") !=
+        std::string::npos);
+  CHECK(text.find("begun") == std::string::npos);
+}
+
+TEST_CASE("two that want one address, started together: exactly one serves, and the other says who has it") {
+  Beside s;
+  const std::string a = s.folder.write("a.toml", s.text("one")), b = s.folder.write("b.toml", s.text("two"));
+  constexpr int kRounds = 50;
+  int firsts = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    s.port = free_port();
+    s.folder.write("a.toml", s.text("one"));
+    s.folder.write("b.toml", s.text("two"));
+    Program one(s.words(a, "sleep 60"), Json::object()), two(s.words(b, "sleep 60"), Json::object());
+    REQUIRE(s.until([&] { return one.ended() || two.ended(); }));
+    Program& loser = one.ended() ? one : two;
+    Program& winner = &loser == &one ? two : one;
+    INFO(one.text << two.text);
+    CHECK(loser.code == 1);
+    CHECK(loser.says(std::string("is claimed by application ") + (&winner == &one ? "one" : "two") +
+                     " (process "));
+    CHECK_FALSE(loser.says("serves"));
+    REQUIRE(s.until([&] { return winner.says("sidecar-application-started"); }));
+    firsts += &winner == &one;
+    winner.signal(
+        SIGKILL); // and what it leaves behind is taken over by nobody here: each round has its own address
+  }
+  MESSAGE("the first of the two served " << firsts << " times of " << kRounds);
+}
+
+TEST_CASE("a claim that a crash left behind is taken over, the application and the router are gone with it") {
+  Beside s;
+  const std::string file = s.folder.write("app.toml", s.text("bookings"));
+  Program first(s.words(file, "sleep 60"), Json::object());
+  REQUIRE(s.until([&] { return first.says("sidecar-application-started"); }));
+  const pid_t application = Beside::process(first, "sidecar-application-started");
+  first.signal(SIGKILL);
+  REQUIRE(s.until([&] { return first.ended(); }));
+  Program second(s.words(file, "echo begun; sleep 60"), Json::object());
+  const bool begun = s.until([&] { return second.says("begun"); });
+  INFO(second.text);
+  CHECK(begun);
+  CHECK(s.until([&] { return kill(application, 0) != 0; }));
+  second.signal(SIGTERM);
+  REQUIRE(s.until([&] { return second.ended(); }));
+  CHECK(second.code == 143);
+  // It leaves no claim.
+  for (const auto& entry : std::filesystem::directory_iterator(s.folder.path)) {
+    CHECK(entry.path().extension() != ".claim");
+  }
+}
+
+TEST_CASE("SIGTERM: the application ends first and is served until then; one that ignores it is killed") {
+  Beside s;
+  const std::string file = s.folder.write("app.toml", s.text("bookings", "ready = \"5s\"\n"));
+  {
+    Program program(
+        s.words(file, "trap 'echo ending; sleep 0.2; exit 3' TERM; echo begun; while :; do sleep 0.02; done"),
+        Json::object());
+    REQUIRE(s.until([&] { return program.says("begun"); }));
+    Client client(s.base.get(), s.port);
+    CHECK(client.ask(read_of("r1")).body == "v of /k/1");
+    program.signal(SIGTERM);
+    REQUIRE(s.until([&] { return program.says("ending"); }));
+    CHECK(client.ask(read_of("r2")).body == "v of /k/1");
+    REQUIRE(s.until([&] { return program.ended(); }));
+    CHECK(program.code == 3);
+    CHECK(program.text.find("sidecar-application-ended") < program.text.find("winds-down"));
+  }
+  Program program(s.words(file, "trap '' TERM; echo begun; while :; do sleep 0.02; done"), Json::object());
+  REQUIRE(s.until([&] { return program.says("begun"); }));
+  program.signal(SIGTERM);
+  REQUIRE(s.until([&] { return program.ended(); }));
+  CHECK(program.code == 128 + SIGKILL);
+  CHECK(program.says("sidecar-application-killed"));
+}
+
+TEST_CASE("a router that crashes is started again, however often; the application goes on") {
+  Beside s;
+  const std::string file =
+      s.folder.write("app.toml", s.text("bookings", "restart_first = \"50ms\"\nrestart_most = \"100ms\"\n"));
+  Program program(s.words(file, "echo begun; sleep 60"), Json::object());
+  REQUIRE(s.until([&] { return program.says("begun"); }));
+  kill(Beside::process(program, "sidecar-router-started"), SIGKILL);
+  REQUIRE(s.until([&] { return program.says("restarts=1"); }));
+  CHECK(s.until([&] {
+    Client client(s.base.get(), s.port);
+    run_for(s.base.get(), 20);
+    return !client.closed && client.ask(read_of("r" + std::to_string(loop::now_ms()))).status == 200;
+  }));
+  // Its address is taken by another: it crashes at once, each time, until that has gone.
+  const int thief = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+  setsockopt(thief, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  where.sin_port = htons(static_cast<std::uint16_t>(s.port));
+  kill(Beside::process(program, "sidecar-router-started"), SIGKILL);
+  REQUIRE(s.until([&] {
+    return bind(thief, reinterpret_cast<sockaddr*>(&where), sizeof where) == 0 && listen(thief, 1) == 0;
+  }));
+  REQUIRE(s.until([&] { return program.says("restarts=5"); }));
+  close(thief);
+  CHECK(s.until([&] { return program.text.rfind("serves name") > program.text.find("restarts=5"); }));
+  CHECK(program.text.find("sidecar-application-ended") == std::string::npos);
+  program.signal(SIGTERM);
+  REQUIRE(s.until([&] { return program.ended(); }));
+}
+
+TEST_CASE("never ready, or told to end before: the application is not begun") {
+  Beside s;
+  std::string text =
+      s.text("bookings", "ready = \"300ms\"\n[fleet]\nfile = \"" + s.folder.path + "/none.json\"\n");
+  const auto nodes = text.find("[fleet.nodes"), classes = text.find("[classes");
+  text.erase(nodes, classes - nodes);
+  const std::string file = s.folder.write("app.toml", text);
+  Program program(s.words(file, "echo begun"), Json::object());
+  REQUIRE(s.until([&] { return program.ended(); }));
+  INFO(program.text);
+  CHECK(program.code == 1);
+  CHECK(program.says("sidecar-router-never-ready"));
+  CHECK_FALSE(program.says("begun"));
+  Program ended(s.words(file, "echo begun"), Json::object());
+  REQUIRE(s.until([&] { return ended.says("sidecar-router-started"); }));
+  ended.signal(SIGTERM);
+  REQUIRE(s.until([&] { return ended.ended(); }));
+  CHECK(ended.code == 143);
+  CHECK_FALSE(ended.says("begun"));
+}
+
+TEST_CASE("reload under load: broken, mended, a class renamed while its requests are open; none is lost") {
+  Beside s;
+  const std::string file = s.folder.write("app.toml", s.text("bookings"));
+  Program program(s.words(file, "echo begun; sleep 60"), Json::object());
+  REQUIRE(s.until([&] { return program.says("begun"); }));
+  Client steady(s.base.get(), s.port), waiting(s.base.get(), s.port);
+  int asked = 0;
+  const auto served = [&] {
+    const auto answer = steady.ask(read_of("r" + std::to_string(++asked)));
+    return answer.status == 200;
+  };
+  CHECK(served());
+  s.folder.write("app.toml", "name = ");
+  program.signal(SIGHUP);
+  REQUIRE(s.until([&] { return program.says("reload-refused") && served(); }));
+  s.folder.write("app.toml", s.text("bookings", "[limits]\nsockets = 300\n")); // whole or not at all
+  program.signal(SIGHUP);
+  REQUIRE(s.until([&] { return program.says("limits.sockets: holds until the next start") && served(); }));
+
+  const auto script = s.node.script;
+  s.node.script = [](const http::Message&) { return std::string(); };
+  waiting.send(read_of("open"));
+  const auto before = s.node.seen.size();
+  REQUIRE(s.until([&] { return s.node.seen.size() == before + 1; }));
+  s.folder.write("app.toml", s.text("bookings", "", "lookup"));
+  program.signal(SIGHUP);
+  REQUIRE(s.until([&] { return program.says("reload-taken"); }));
+  s.node.say(ok("in time"));
+  REQUIRE(s.until([&] { return !waiting.answers.empty(); }));
+  CHECK(waiting.answers[0].body == "in time");
+  s.node.script = script;
+  CHECK(steady.ask("GET /k/1 HTTP/1.1\r\nX-Request-ID: n1\r\nX-Priority-Class: lookup\r\n\r\n").status ==
+        200);
+  CHECK(steady.ask(read_of("n2")).status == 400); // the old name is no class any more
+  CHECK_FALSE(program.says("sidecar-router-ended"));
+  program.signal(SIGTERM);
+  REQUIRE(s.until([&] { return program.ended(); }));
+}
+
+TEST_CASE("a unix socket: served, removed at the end, and taken over where a crash left it") {
+  Beside s;
+  const std::string path = s.folder / "router.sock";
+  std::string text = s.text("bookings");
+  const std::string tcp = "127.0.0.1:" + std::to_string(s.port);
+  text.replace(text.find(tcp), tcp.size(), "unix:" + path);
+  const std::string file = s.folder.write("app.toml", text);
+  {
+    Program program({"serve", "--config", file}, Json::object());
+    REQUIRE(s.until([&] { return program.says("serves name="); }));
+    program.signal(SIGKILL);
+    REQUIRE(s.until([&] { return program.ended(); }));
+  }
+  CHECK(std::filesystem::exists(path));
+  Program program(s.words(file, "echo at=$FERNWARD_ADDRESS"),
+                  Json::object()); // it is ready: it was asked there
+  REQUIRE(s.until([&] { return program.ended(); }));
+  INFO(program.text);
+  CHECK(program.code == 0);
+  CHECK(program.says("at=unix:" + path));
+  CHECK_FALSE(std::filesystem::exists(path));
+}
