--- a/src/loop/deadlines.cpp
+++ b/src/loop/deadlines.cpp
@@ -6,6 +6,8 @@
 namespace fernward::loop {
 namespace {
 
+constexpr std::size_t kBranches = 4;
+
 double steady_ms() {
   return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
       .count();
@@ -25,36 +27,91 @@
 }
 
 Deadlines::Ticket Deadlines::at(double when, std::function<void()> what) {
-  const Ticket ticket = ++last_;
-  queue_.emplace(Key(when, ticket), std::move(what));
-  times_.emplace(ticket, when);
+  std::uint32_t slot = 0;
+  if (free_.empty()) {
+    slot = static_cast<std::uint32_t>(slots_.size());
+    slots_.emplace_back();
+  } else {
+    slot = free_.back();
+    free_.pop_back();
+  }
+  slots_[slot].what = std::move(what);
+  heap_.push_back({});
+  up(heap_.size() - 1, {when, ++last_, slot});
   arm();
-  return ticket;
+  return Ticket{slots_[slot].generation} << 32 | slot;
 }
 
 void Deadlines::cancel(Ticket& ticket) {
-  if (const auto it = times_.find(ticket); it != times_.end()) {
-    queue_.erase(Key(it->second, ticket));
-    times_.erase(it);
-  }
+  const auto slot = static_cast<std::uint32_t>(ticket);
+  const auto generation = static_cast<std::uint32_t>(ticket >> 32);
   ticket = 0; // an armed timer that finds nothing due arms itself anew
+  if (generation == 0 || slot >= slots_.size() || slots_[slot].generation != generation) return;
+  remove(slots_[slot].place);
 }
 
 void Deadlines::run() {
   armed_for_ = 0;
   const double now = now_ms();
-  const Ticket newest = last_; // what is added meanwhile waits for the next turn, lest the loop starves
-  while (!queue_.empty() && queue_.begin()->first.first <= now && queue_.begin()->first.second <= newest) {
-    const auto node = queue_.extract(queue_.begin()); // out first: the call may change the queue
-    times_.erase(node.key().second);
-    node.mapped()();
+  const std::uint64_t newest =
+      last_; // what is added meanwhile waits for the next turn, lest the loop starves
+  while (!heap_.empty() && heap_.front().when <= now && heap_.front().order <= newest) {
+    remove(0)(); // out first: the call may change the heap
   }
   arm();
 }
 
+void Deadlines::put(std::size_t place, Entry entry) {
+  heap_[place] = entry;
+  slots_[entry.slot].place = static_cast<std::uint32_t>(place);
+}
+
+void Deadlines::up(std::size_t place, Entry entry) {
+  while (place > 0) {
+    const std::size_t parent = (place - 1) / kBranches;
+    if (!(entry < heap_[parent])) break;
+    put(place, heap_[parent]);
+    place = parent;
+  }
+  put(place, entry);
+}
+
+void Deadlines::down(std::size_t place, Entry entry) {
+  for (;;) {
+    const std::size_t first = kBranches * place + 1, end = std::min(first + kBranches, heap_.size());
+    std::size_t least = first;
+    for (std::size_t child = first + 1; child < end; ++child) {
+      if (heap_[child] < heap_[least]) least = child;
+    }
+    if (first >= heap_.size() || !(heap_[least] < entry)) break;
+    put(place, heap_[least]);
+    place = least;
+  }
+  put(place, entry);
+}
+
+std::function<void()> Deadlines::remove(std::size_t place) {
+  Slot& slot = slots_[heap_[place].slot];
+  std::function<void()> what = std::move(slot.what);
+  slot.what = nullptr;
+  if (++slot.generation == 0) slot.generation = 1; // 0 is no ticket's
+  free_.push_back(heap_[place].slot);
+  const Entry last = heap_.back();
+  heap_.pop_back();
+  if (place < heap_.size()) {
+    // The last one takes its place, and finds its own from there.
+    if (place > 0 && last < heap_[(place - 1) / kBranches]) {
+      up(place, last);
+    } else {
+      down(place, last);
+    }
+  }
+  return what;
+}
+
 void Deadlines::arm() {
-  if (queue_.empty()) return;
-  const double when = queue_.begin()->first.first;
+  if (heap_.empty()) return;
+  const double when = heap_.front().when;
   if (armed_for_ != 0 && armed_for_ <= when) return;
   armed_for_ = when;
   const double wait = std::clamp(when - now_ms(), 0.0, 60000.0) * 1000;
--- a/src/loop/deadlines.h
+++ b/src/loop/deadlines.h
@@ -5,9 +5,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
-#include <unordered_map>
+#include <vector>
 
 namespace fernward::loop {
 
@@ -29,17 +28,37 @@
 
   Ticket at(double when, std::function<void()> what);
   void cancel(Ticket& ticket); // sets it to 0; harmless for one that has passed
-  std::size_t size() const { return queue_.size(); }
+  std::size_t size() const { return heap_.size(); }
 
  private:
-  using Key = std::pair<double, Ticket>; // equal times in the order of their making
+  // A heap of four branches over slots that know their place in it: most deadlines are cancelled long before they are
+  // due, and a request sets half a dozen. Nothing is allocated once the tables have grown.
+  struct Entry {
+    double when;
+    std::uint64_t order; // equal times in the order of their making
+    std::uint32_t slot;
+    bool operator<(const Entry& other) const {
+      return when < other.when || (when == other.when && order < other.order);
+    }
+  };
+  struct Slot {
+    std::function<void()> what;
+    std::uint32_t place = 0;      // in the heap
+    std::uint32_t generation = 1; // of its tickets
+  };
+
   static void fired(int, short, void* self) { static_cast<Deadlines*>(self)->run(); }
   void run();
   void arm();
+  void put(std::size_t place, Entry entry);
+  void up(std::size_t place, Entry entry);
+  void down(std::size_t place, Entry entry);
+  std::function<void()> remove(std::size_t place); // what was due there
 
-  std::map<Key, std::function<void()>> queue_;
-  std::unordered_map<Ticket, double> times_;
-  Ticket last_ = 0;
+  std::vector<Entry> heap_;
+  std::vector<Slot> slots_;
+  std::vector<std::uint32_t> free_;
+  std::uint64_t last_ = 0;
   double armed_for_ = 0; // 0: not armed
   EventPtr timer_;
 };
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -2,8 +2,11 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
+#include <map>
+#include <random>
 
 #include "egress/codec.h"
 #include "ingress/codec.h"
@@ -193,6 +196,32 @@
   CHECK(order == "abc");
 }
 
+// guards: a heap that loses its order, or a ticket that cancels what another was given for
+TEST_CASE("thousands of deadlines, most of them cancelled: the rest fire in order, each once") {
+  const auto base = router::make_base();
+  loop::Deadlines deadlines(base.get());
+  std::mt19937 draw(11);
+  std::vector<std::pair<double, int>> fired; // when it was due, and its number
+  std::map<int, double> due;
+  std::vector<std::pair<loop::Deadlines::Ticket, int>> tickets;
+  const double now = loop::now_ms();
+  for (int i = 0; i < 20000; ++i) {
+    const double when = now + static_cast<int>(draw() % 50); // many at the same time
+    tickets.emplace_back(deadlines.at(when, [&fired, when, i] { fired.emplace_back(when, i); }), i);
+    due[i] = when;
+    if (draw() % 8 == 0) continue;
+    const std::size_t one = draw() % tickets.size(); // perhaps one that is cancelled already
+    auto ticket = tickets[one].first;
+    deadlines.cancel(ticket);
+    due.erase(tickets[one].second);
+  }
+  CHECK(deadlines.size() == due.size());
+  CHECK(run_until(base.get(), [&] { return deadlines.size() == 0; }));
+  CHECK(fired.size() == due.size());
+  for (const auto& [when, number] : fired) CHECK(due.count(number) == 1);
+  CHECK(std::is_sorted(fired.begin(), fired.end()));
+}
+
 TEST_CASE("what an answer of a target means") {
   const auto result = [](int code, const char* not_processed) {
     http::Message answer;
