--- /dev/null
+++ b/bench/checking.cpp
@@ -0,0 +1,56 @@
+// What checking an application's file costs beside parsing it alone, for a file of many nodes.
+//
+//   fernward-checking --nodes 9900 --rounds 15
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <string>
+#include <vector>
+
+#include "setup/read.h"
+
+namespace {
+
+template <typename F>
+double median_ms(int rounds, F what) {
+  std::vector<double> times;
+  for (int i = 0; i < rounds; ++i) {
+    const auto begun = std::chrono::steady_clock::now();
+    what();
+    times.push_back(
+        std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begun).count());
+  }
+  std::sort(times.begin(), times.end());
+  return times[times.size() / 2];
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("fernward-checking", "checking a large file, beside parsing it");
+  options.add_options()("nodes", "in the file", cxxopts::value<int>()->default_value("9900"))(
+      "rounds", "the median is told", cxxopts::value<int>()->default_value("15"));
+  const auto args = options.parse(argc, argv);
+  std::string text =
+      "name = \"big\"\nlisten = \"127.0.0.1:7070\"\n[limits]\nsockets = 60000\nmemory = \"4096MiB\"\n"
+      "[classes.any]\ngive_up = \"1s\"\nrepeat = \"safe\"\n";
+  for (int i = 0; i < args["nodes"].as<int>(); ++i) {
+    text += "[fleet.nodes.node-" + std::to_string(i) + "]\naddress = \"10." + std::to_string(i / 65536) +
+            "." + std::to_string(i / 256 % 256) + "." + std::to_string(i % 256) + ":7070\"\nweight = 1.5\n";
+  }
+  const int rounds = args["rounds"].as<int>();
+  const double parsed = median_ms(rounds, [&] {
+    fernward::notation::Faults faults;
+    fernward::notation::Layers layers;
+    fernward::notation::parse_layers(text, "big.toml", "include", nullptr, faults, layers);
+  });
+  bool sound = false;
+  const double checked =
+      median_ms(rounds, [&] { sound = fernward::setup::read(text, "big.toml", nullptr, nullptr).sound(); });
+  std::printf(
+      "| file | sound | parsed, ms | read and checked, ms | ratio |\n| --- | --- | --- | --- | --- |\n");
+  std::printf("| %zu KB | %s | %.1f | %.1f | %.2f |\n", text.size() / 1000, sound ? "yes" : "no", parsed,
+              checked, checked / parsed);
+  return sound ? 0 : 1;
+}
--- a/bench/passing.cpp
+++ b/bench/passing.cpp
@@ -4,6 +4,12 @@
 //
 //   fernward-passing --router build/fernward --relay build/bench/fernward-relay --sizes 1024,65536,409600,5242880
 //
+// With --latency one client asks for the first size, one request after the other, straight at the node and through each
+// program: what each adds to the direct way, beside what the first relay adds. --sidecar PROGRAM adds a router beside an
+// application.
+//
+//   fernward-passing --latency --router build/fernward --sidecar build/fernward --relay build/bench/fernward-relay
+//
 // With --slow N the router has 32 MB and 1,024 descriptors, and N clients ask for the first size and do not read: what
 // it holds is counted while 200 others ask.
 //
@@ -122,7 +128,7 @@
   std::atomic<std::uint64_t> left{0}, failed{0}, next{1};
 };
 
-void ask(int port, std::size_t size, Load& load) {
+void ask(int port, std::size_t size, Load& load, std::vector<double>* us = nullptr) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in where = address(port);
   const int on = 1;
@@ -134,6 +140,7 @@
     std::uint64_t left = load.left.load();
     while (left > 0 && !load.left.compare_exchange_weak(left, left - 1)) {}
     if (left == 0) break;
+    const auto begun = std::chrono::steady_clock::now();
     const std::string id = std::to_string(load.next++);
     const std::string request =
         "GET /" + std::to_string(size) + "/" + id + " HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id +
@@ -152,6 +159,10 @@
       if (n <= 0) fail("an answer was cut off");
       due -= static_cast<std::size_t>(n);
     }
+    if (us != nullptr) {
+      us->push_back(
+          std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begun).count());
+    }
   }
   close(fd);
 }
@@ -212,6 +223,17 @@
   return path;
 }
 
+std::string write_setup(int port, int node) {
+  char path[] = "/tmp/fernward-passing-XXXXXX";
+  close(mkstemp(path));
+  std::ofstream(path) << "name = \"bench\"\nlisten = \"" << kHost << ":" << port
+                      << "\"\n[fleet.nodes.s-1]\naddress = \"" << kHost << ":" << node
+                      << "\"\n[classes.read]\ngive_up = \"20s\"\nrepeat = \"safe\"\n"
+                         "[tenants.acme]\nshare = 1\nquota = \"100000/s\"\n[limits]\nsockets = 256\n"
+                         "memory = \"64MiB\"\n[application]\nruntime_folder = \"/tmp\"\n";
+  return path;
+}
+
 double cpu_ms(pid_t pid) { // on the CPU so far, to the nanosecond
   std::ifstream file("/proc/" + std::to_string(pid) + "/schedstat");
   double ns = 0;
@@ -261,6 +283,36 @@
   }
 }
 
+// ---- latency ----
+
+void measure_latency(std::vector<Program> programs, int node, std::size_t size,
+                     const cxxopts::ParseResult& args) {
+  programs.insert(programs.begin(), {"direct", 0, node});
+  std::vector<std::vector<double>> us(programs.size()), added(programs.size()), ratio(programs.size());
+  for (int round = -1; round < args["rounds"].as<int>(); ++round) { // the first warms up
+    std::vector<double> medians;
+    for (const Program& program : programs) {
+      Load load;
+      load.left = 2000;
+      load.next = static_cast<std::uint64_t>(round + 2) << 32;
+      std::vector<double> times;
+      ask(program.port, size, load, &times);
+      if (load.failed > 0) fail(program.name + ": " + std::to_string(load.failed) + " not served");
+      medians.push_back(median(times));
+    }
+    for (std::size_t i = 0; i < programs.size() && round >= 0; ++i) {
+      us[i].push_back(medians[i]);
+      added[i].push_back(medians[i] - medians[0]);
+      if (i > 0) ratio[i].push_back((medians[i] - medians[0]) / (medians[1] - medians[0]));
+    }
+  }
+  std::printf("| way | median, us | added, us | added, beside the first |\n| --- | --- | --- | --- |\n");
+  for (std::size_t i = 0; i < programs.size(); ++i) {
+    std::printf("| %s | %.0f | %.0f | %.2f |\n", programs[i].name.c_str(), median(us[i]), median(added[i]),
+                median(ratio[i]));
+  }
+}
+
 // ---- clients that do not read ----
 
 double figure(const std::string& path, const std::string& name) { // of a line "name: figure" or "name figure"
@@ -350,6 +402,8 @@
       "rounds", "each program has one turn in each", cxxopts::value<int>()->default_value("5"))(
       "mb", "passed on in a turn", cxxopts::value<double>()->default_value("200"))(
       "requests", "at most in a turn", cxxopts::value<double>()->default_value("20000"))(
+      "latency", "what each adds to the direct way")("sidecar", "program, run beside an application",
+                                                     cxxopts::value<std::string>()->default_value(""))(
       "slow", "clients that do not read", cxxopts::value<int>()->default_value("0"));
   const auto args = options.parse(argc, argv);
   const int slow = args["slow"].as<int>();
@@ -382,16 +436,25 @@
     files.push_back(write_config(port, node, free_port(), slow > 0));
     programs.push_back({router, start({router, "serve"}, files.back()), port});
   }
-  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  if (const std::string sidecar = args["sidecar"].as<std::string>(); !sidecar.empty()) {
+    const int port = free_port();
+    files.push_back(write_setup(port, node));
+    programs.push_back({sidecar + " sidecar",
+                        start({sidecar, "sidecar", "--config", files.back(), "--", "/bin/sleep", "1000"}, ""),
+                        port});
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
 
-  if (slow > 0) {
+  if (args.count("latency") > 0) {
+    measure_latency(programs, node, sizes.front(), args);
+  } else if (slow > 0) {
     measure_slow(programs.back(), node, sizes.front(), slow);
   } else {
     measure_cpu(programs, sizes, args);
   }
   for (const Program& program : programs) {
-    kill(program.pid, SIGTERM);
-    kill(program.pid, SIGKILL);
+    kill(program.pid, SIGTERM); // a sidecar takes its own along
+    if (program.name.find("sidecar") == std::string::npos) kill(program.pid, SIGKILL);
     waitpid(program.pid, nullptr, 0);
   }
   for (const std::string& file : files) unlink(file.c_str());
--- a/lab/commands/compare.cpp
+++ b/lab/commands/compare.cpp
@@ -18,6 +18,7 @@
   model::Spec spec;
   std::vector<Row> rows;          // by seed
   std::vector<char> counts, kept; // not void; every rule kept
+  std::vector<std::string> why;   // a run is void, else empty
 };
 
 std::string signed_text(const Column& column, double value) {
@@ -82,6 +83,7 @@
     side->rows.resize(seeds.size());
     side->counts.resize(seeds.size());
     side->kept.resize(seeds.size());
+    side->why.resize(seeds.size());
   }
   if (a.settings == b.settings && a.playing.program == b.playing.program &&
       a.playing.driver == b.playing.driver && a.playing.role == b.playing.role) {
@@ -116,6 +118,7 @@
               play(*driver, driver_name(side.playing), spec, slack_of(side.playing, spec), control);
           side.rows[seed] = row_of(r);
           side.counts[seed] = !r.info.is_void && !r.info.stopped;
+          if (!r.info.why_void.empty()) side.why[seed] = r.info.why_void.front();
           side.kept[seed] = std::all_of(r.findings.rules.begin(), r.findings.rules.end(),
                                         [](const RuleFinding& f) { return f.kept(); });
         },
@@ -124,6 +127,13 @@
         });
   }
 
+  for (std::size_t i = 0; i < seeds.size(); ++i) {
+    for (const Side* side : {&a, &b}) {
+      if (side->why[i].empty()) continue;
+      std::fprintf(stderr, "void: seed %llu of %s: %s\n", static_cast<unsigned long long>(seeds[i]),
+                   side == &a ? "A" : "B", side->why[i].c_str());
+    }
+  }
   std::vector<std::size_t> pairs;
   std::size_t broken_a = 0, broken_b = 0;
   for (std::size_t i = 0; i < seeds.size(); ++i) {
--- a/lab/peers/machines.cpp
+++ b/lab/peers/machines.cpp
@@ -378,8 +378,9 @@
     if (frozen == c.frozen) return;
     c.frozen = frozen;
     if (frozen) return c.stream->pause();
-    if (!c.stream->quiet()) c.stuck = true; // it was written to meanwhile
-    c.stream->resume();
+    if (!c.stream->quiet())
+      c.stuck = true; // it was written to meanwhile: that is lost, and nobody reads it now
+    if (!c.stuck) c.stream->resume();
   });
   for (MachineId m = 0; m < stations_.size(); ++m) reset_links(m, true);
 }
--- a/lab/rig/routers.cpp
+++ b/lab/rig/routers.cpp
@@ -119,7 +119,15 @@
   } else if (options_.role == lab::RouterRole::Application) {
     start.command = {options_.program, "serve", "--config", file};
   } else {
-    start.command = {options_.program, "sidecar", "--config", file, "--", "sleep", "1000000"};
+    // Told to end, the application does so well, as the exit code is the sidecar's.
+    start.command = {options_.program,
+                     "sidecar",
+                     "--config",
+                     file,
+                     "--",
+                     "sh",
+                     "-c",
+                     "trap 'exit 0' TERM; while :; do sleep 1 & wait; done"};
   }
   start.environment = {"NODE_NAME=" + place.name, "NODE_LISTEN=" + text_of(stage_.addresses.router(r)),
                        "NODE_DISCOVERY=" + text_of(stage_.addresses.agent(r, moves_)),
--- a/tests/lab/peers/machines_test.cpp
+++ b/tests/lab/peers/machines_test.cpp
@@ -143,7 +143,10 @@
   REQUIRE(status_of(used.ask(stand.request(kHeld))) == 200);
   REQUIRE(status_of(idle.ask(stand.request(kHeld))) == 200);
   stand.node(0, NodeStep::What::Silence);
-  used.send(stand.request(kHeld));
+  // Lost, and so never read: back after a long time, the lab would not know it any more.
+  std::string lost = stand.request(kHeld);
+  lost.replace(lost.find("ID: ") + 4, 4, "zzzz");
+  used.send(lost);
   CHECK(used.read(300).empty());
   CHECK(used.end == Raw::End::Open);
   const Raw fresh(stand.machine(0), 300);
@@ -152,6 +155,7 @@
   stand.node(0, NodeStep::What::Return);
   used.read(5000);
   CHECK(used.end == Raw::End::Reset);
+  CHECK(stand.voids.all().empty());
   CHECK(status_of(idle.ask(stand.request(kHeld))) == 200);
   CHECK(status_of(Raw(stand.machine(0)).ask(stand.request(kHeld))) == 200);
 }
