--- a/src/setup/app.h
+++ b/src/setup/app.h
@@ -72,8 +72,8 @@
 
 struct LimitSetup {
   std::uint32_t sockets = 1024, memory_mb = 192;
-  std::uint32_t open = 20000; // requests at once
-  double grace_ms = 20;       // for an answer beyond its time
+  std::optional<std::uint32_t> open; // requests at once; none: see open_of()
+  double grace_ms = 20;              // for an answer beyond its time
   double answer_bytes = 16 << 20, request_bytes = 64 << 10;
   std::string body_folder;
   std::uint32_t body_folder_mb = 64;
@@ -135,4 +135,16 @@
   return node.kind.value_or(first);
 }
 
+// What the process takes: with empty tables, for a connection, for an open request without its body.
+inline constexpr double kBaseMb = 8, kConnectionKb = 6, kRequestKb = 2;
+
+// Requests that may be open at once: as given, or 20,000 as far as memory holds them.
+inline std::uint32_t open_of(const LimitSetup& l) {
+  if (l.open) return *l.open;
+  const double room_kb = (l.memory_mb - kBaseMb) * 1024 - l.sockets * kConnectionKb;
+  return static_cast<std::uint32_t>(room_kb < kRequestKb           ? 1
+                                    : room_kb > 20000 * kRequestKb ? 20000
+                                                                   : room_kb / kRequestKb);
+}
+
 } // namespace fernward::setup
--- a/src/setup/keys.cpp
+++ b/src/setup/keys.cpp
@@ -157,7 +157,9 @@
   v.enter("limits", "what the router may use");
   v.count("sockets", a.limits.sockets, "descriptors");
   v.count("memory_mb", a.limits.memory_mb, "memory", Unit::Mebibytes);
-  v.count("open", a.limits.open, "requests at once");
+  maybe(v, "open", a.limits.open, [&](auto& n) {
+    v.count("open", n, "requests at once; without it 20000, or as many as memory holds");
+  });
   v.amount("grace_ms", a.limits.grace_ms, Unit::Time, "for an answer on its way, beyond the client's time");
   v.amount("answer_bytes", a.limits.answer_bytes, Unit::Bytes, "the longest answer that is passed on");
   v.amount("request_bytes", a.limits.request_bytes, Unit::Bytes, "the longest body of a request");
--- a/src/setup/render.cpp
+++ b/src/setup/render.cpp
@@ -87,7 +87,7 @@
                         {"max_retry_after", app.attempts.retry_after_ms},
                         {"connect_timeout", app.attempts.connect_ms},
                         {"conn_idle", app.attempts.idle_ms},
-                        {"open_cap", app.limits.open}};
+                        {"open_cap", open_of(app.limits)}};
   settings["obligations"] = {{"grace_to_answer", app.limits.grace_ms},
                              {"warm_after", app.fleet.warm_after_ms},
                              {"start_capacity", app.fleet.start_capacity},
--- a/src/setup/sound.cpp
+++ b/src/setup/sound.cpp
@@ -16,9 +16,6 @@
 
 constexpr std::size_t kLongestPath = 107; // of a unix socket, as the kernel has it
 constexpr std::size_t kLongestName = 64;
-constexpr double kBaseMb = 8;           // the process with empty tables
-constexpr double kConnectionKb = 6;     // what a connection takes of the process
-constexpr double kRequestKb = 2;        // and an open request, without its body
 constexpr std::uint32_t kReserved = 24; // descriptors for all but connections
 constexpr double kLedgerOnly = 0.95, kLedgerMuch = 0.5;
 
@@ -284,7 +281,7 @@
     const LimitSetup& l = app_.limits;
     if (l.sockets < 64) fault("limits.sockets", "tables", "must be 64 or more");
     if (l.memory_mb < 8) fault("limits.memory_mb", "tables", "must be 8MiB or more");
-    if (l.open == 0) fault("limits.open", "value", "must be above 0");
+    if (l.open && *l.open == 0) fault("limits.open", "value", "must be above 0");
     if (l.answer_bytes < 1 || l.answer_bytes > 4294967295.0)
       fault("limits.answer_bytes", "value", "must be from 1B to 4GiB");
     if (l.request_bytes < 1 || l.request_bytes > 4294967295.0)
@@ -300,8 +297,8 @@
                 " nodes beside the clients': give " + std::to_string(nodes * 4 / 3 + kReserved + 1) +
                 " or more");
     }
-    const double needed = kBaseMb + l.sockets * kConnectionKb / 1024 + l.open * kRequestKb / 1024;
-    if (l.memory_mb >= 8 && setup_.places.contains("limits.open") && needed > l.memory_mb) {
+    const double needed = kBaseMb + l.sockets * kConnectionKb / 1024 + open_of(l) * kRequestKb / 1024;
+    if (l.memory_mb >= 8 && l.open && needed > l.memory_mb) {
       fault("limits.open", "tables",
             "with " + std::to_string(l.sockets) + " sockets these tables take " +
                 std::to_string(static_cast<int>(std::ceil(needed))) +
