--- a/include/fernward/choice.h
+++ b/include/fernward/choice.h
@@ -49,6 +49,14 @@
   double quota_per_s = 0; // requests a second over all nodes; 0: no quota
 };
 
+// What is done when the fleet changes its size. Where caches are beside an origin, and `settle_ms` is above 0.
+struct ResizeSettings {
+  double settle_ms = 0; // a node that came lately shares its keys with their former owners for this long
+  double ledger_multiple = 2; // meanwhile fetches stay below this times their steady rate; 0: no bound
+  double second_holder =
+      0; // share of the reads, those of the most popular keys, that are kept at two caches; 0: none
+};
+
 struct Settings {
   std::uint32_t nodes = 1;           // balancers in this tier, 65536 at most
   std::optional<std::uint32_t> zone; // the node's own; caches in it are preferred
@@ -72,6 +80,7 @@
   double warm_after_ms = 0;  // a started server is warm after this
   double start_capacity = 1; // and starts at this share of its capacity or more
   double tip_after_ms = 0;   // overloaded this long, a cold server falls over
+  ResizeSettings resize;
 
   std::uint32_t attempts_of(std::uint32_t cls) const {
     const std::uint32_t own = cls < classes.size() ? classes[cls].max_attempts : 0;
--- a/lab/check/meter.cpp
+++ b/lab/check/meter.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <deque>
 
 #include "lab/stats/latency.h"
 
@@ -261,6 +262,35 @@
   std::uint64_t all_ = 0, second_ = 0, in_second_ = 0, peak_ = 0;
 };
 
+class SurgeMeter final : public Meter {
+ public:
+  SurgeMeter(const Spec& spec, const Plan& plan, const Bound& bound)
+      : bound_(bound), origin_(plan.origin), to_ms_(bound.to_ms > 0 ? bound.to_ms : spec.duration_ms) {}
+
+  using Sink::on;
+  void on(const Arrived& a) override {
+    if (a.machine != origin_ || a.write || (bound_.cls && *bound_.cls != a.cls)) return;
+    const double begin = bound_.from_ms / 4; // connections and limits come up first
+    if (a.at >= begin && a.at < bound_.from_ms) ++before_;
+    if (a.at < bound_.from_ms || a.at >= to_ms_) return;
+    window_.push_back(a.at);
+    while (window_.front() <= a.at - 1000) window_.pop_front();
+    peak_ = std::max(peak_, window_.size());
+  }
+  std::optional<double> value() override {
+    if (before_ == 0) return std::nullopt;
+    return static_cast<double>(peak_) * 0.75 * bound_.from_ms / 1000 / static_cast<double>(before_);
+  }
+
+ private:
+  const Bound bound_;
+  const MachineId origin_;
+  const double to_ms_;
+  std::deque<double> window_; // arrivals of the last second
+  std::uint64_t before_ = 0;
+  std::size_t peak_ = 0;
+};
+
 class HitMeter final : public Meter {
  public:
   HitMeter(const Spec& spec, const Bound& bound)
@@ -334,6 +364,7 @@
     case Metric::LatencyMs: return std::make_unique<LatencyMeter>(spec, bound);
     case Metric::OriginPerS:
     case Metric::OriginPeakPerS: return std::make_unique<OriginMeter>(spec, plan, bound);
+    case Metric::FetchSurge: return std::make_unique<SurgeMeter>(spec, plan, bound);
     case Metric::HitRatio: return std::make_unique<HitMeter>(spec, bound);
     case Metric::HandshakesPerRequest: return std::make_unique<HandshakeMeter>(spec, bound);
     case Metric::RecoveryMs: return std::make_unique<RecoveryMeter>(spec, bound);
@@ -349,6 +380,7 @@
     case Metric::OriginPerS:
     case Metric::OriginPeakPerS: std::snprintf(text, sizeof text, "%.1f/s", value); break;
     case Metric::HandshakesPerRequest: std::snprintf(text, sizeof text, "%.4f", value); break;
+    case Metric::FetchSurge: std::snprintf(text, sizeof text, "%.2f", value); break;
     default: std::snprintf(text, sizeof text, "%.2f%%", value * 100);
   }
   return text;
@@ -367,6 +399,7 @@
     case Metric::LatencyMs: text = "latency, " + plain_share(b.quantile) + " within"; break;
     case Metric::OriginPerS: text = "requests to the origin"; break;
     case Metric::OriginPeakPerS: text = "requests to the origin in the worst second"; break;
+    case Metric::FetchSurge: text = "fetches in the worst second, beside the steady rate"; break;
     case Metric::HitRatio: text = "hit ratio"; break;
     case Metric::HandshakesPerRequest: text = "new connections to machines for each request"; break;
     case Metric::RecoveryMs:
--- a/lab/commands/compare.cpp
+++ b/lab/commands/compare.cpp
@@ -18,7 +18,8 @@
   model::Spec spec;
   std::vector<Row> rows;          // by seed
   std::vector<char> counts, kept; // not void; every rule kept
-  std::vector<std::string> why;   // a run is void, else empty
+  std::vector<std::vector<BoundFinding>> bounds;
+  std::vector<std::string> why; // a run is void, else empty
 };
 
 std::string signed_text(const Column& column, double value) {
@@ -36,6 +37,41 @@
   return (p.says == Paired::Says::Higher) == more_is_better ? "B is better" : "B is worse";
 }
 
+// What the scenario bounds, on both sides: in how many runs it holds, its mean and its worst value.
+void bounds_table(const Side& a, const Side& b, const std::vector<std::size_t>& pairs,
+                  nlohmann::json& saved) {
+  const std::size_t count = std::min(a.bounds[pairs.front()].size(), b.bounds[pairs.front()].size());
+  if (count == 0) return;
+  std::vector<std::vector<std::string>> table{
+      {"bound", "A: mean", "worst", "holds", "B: mean", "worst", "holds"}};
+  for (std::size_t i = 0; i < count; ++i) {
+    const BoundFinding& first = a.bounds[pairs.front()][i];
+    std::vector<std::string> row{first.what};
+    nlohmann::json entry = {{"what", first.what}};
+    for (const Side* side : {&a, &b}) {
+      double sum = 0, worst = first.at_most ? -1e300 : 1e300;
+      std::size_t measured = 0, kept = 0;
+      std::vector<double> values;
+      for (const std::size_t seed : pairs) {
+        const BoundFinding& f = side->bounds[seed][i];
+        kept += f.kept ? 1 : 0;
+        if (!f.value) continue;
+        ++measured;
+        sum += *f.value;
+        worst = first.at_most ? std::max(worst, *f.value) : std::min(worst, *f.value);
+        values.push_back(*f.value);
+      }
+      row.push_back(measured > 0 ? metric_text(first.metric, sum / static_cast<double>(measured)) : "-");
+      row.push_back(measured > 0 ? metric_text(first.metric, worst) : "-");
+      row.push_back(std::to_string(kept) + " of " + std::to_string(pairs.size()));
+      entry[side == &a ? "a" : "b"] = {{"values", values}, {"kept", kept}};
+    }
+    table.push_back(std::move(row));
+    saved["bounds"].push_back(std::move(entry));
+  }
+  std::printf("%s\n", table_text(table).c_str());
+}
+
 } // namespace
 
 int compare_command(const Arguments& arguments) {
@@ -84,6 +120,7 @@
     side->counts.resize(seeds.size());
     side->kept.resize(seeds.size());
     side->why.resize(seeds.size());
+    side->bounds.resize(seeds.size());
   }
   if (a.settings == b.settings && a.playing.program == b.playing.program &&
       a.playing.driver == b.playing.driver && a.playing.role == b.playing.role) {
@@ -117,6 +154,7 @@
           const Result r =
               play(*driver, driver_name(side.playing), spec, slack_of(side.playing, spec), control);
           side.rows[seed] = row_of(r);
+          side.bounds[seed] = r.findings.bounds;
           side.counts[seed] = !r.info.is_void && !r.info.stopped;
           if (!r.info.why_void.empty()) side.why[seed] = r.info.why_void.front();
           side.kept[seed] = std::all_of(r.findings.rules.begin(), r.findings.rules.end(),
@@ -166,6 +204,7 @@
         {"a", of_a}, {"b", of_b}, {"mean", p.mean}, {"low", p.low}, {"high", p.high}};
   }
   std::printf("%s\n", table_text(table).c_str());
+  bounds_table(a, b, pairs, saved);
   const std::string seeds_text =
       std::to_string(pairs.size()) + (pairs.size() == 1 ? " pair" : " pairs") + " of runs";
   std::string verdict;
--- a/lab/scenario/schema.cpp
+++ b/lab/scenario/schema.cpp
@@ -26,9 +26,19 @@
 constexpr std::array kBad{"error",      "garbage",     "too-large",  "cut-off",
                           "never-ends", "early-close", "wrong-body", "slow-bytes"};
 constexpr std::array kCountedBy{"request", "work"};
-constexpr std::array kMetrics{"service", "worst-window", "worst-class", "worst-tenant",
-                              "served",  "refused",      "failed",      "latency",
-                              "origin",  "origin-peak",  "hit-ratio",   "handshakes-per-request",
+constexpr std::array kMetrics{"service",
+                              "worst-window",
+                              "worst-class",
+                              "worst-tenant",
+                              "served",
+                              "refused",
+                              "failed",
+                              "latency",
+                              "origin",
+                              "origin-peak",
+                              "fetch-surge",
+                              "hit-ratio",
+                              "handshakes-per-request",
                               "recovery"};
 constexpr std::array kEvents{
     "neighbour",      "start-nodes",  "drain-nodes", "kill-nodes",      "replace-nodes",  "restart-nodes",
@@ -44,6 +54,7 @@
     case Metric::RecoveryMs: return Unit::Time;
     case Metric::OriginPerS:
     case Metric::OriginPeakPerS: return Unit::Rate;
+    case Metric::FetchSurge:
     case Metric::HandshakesPerRequest: return Unit::Number;
     default: return Unit::Share;
   }
@@ -185,6 +196,13 @@
   v.amount("over_share_worth", r.over_share_worth, Unit::Share,
            "of what a request beyond its quota is worth");
   pick(v, "weight_kind", r.weight_kind, kWeights, "what discovery's weights are");
+  v.enter("resize", "what routers do when the list changes");
+  v.amount("settle_ms", r.resize.settle_ms, Unit::Time, "former owners are read for this long; 0: off");
+  v.amount("ledger_multiple", r.resize.ledger_multiple, Unit::Number,
+           "meanwhile fetches stay below this times their steady rate; 0: no bound");
+  v.amount("second_holder", r.resize.second_holder, Unit::Share,
+           "of the reads, those of the most popular keys, that are kept at two caches");
+  v.leave();
   v.leave();
 }
 
--- a/lab/scenario/sound.cpp
+++ b/lab/scenario/sound.cpp
@@ -207,18 +207,22 @@
       if (b.at_least && b.at_most && *b.at_least > *b.at_most) add(path("at_most"), "is below at_least");
       if (!(b.level >= 0 && b.level <= 1)) add(path("level"), "must be a share from 0 to 1");
       const bool fleet = b.metric == Metric::OriginPerS || b.metric == Metric::OriginPeakPerS ||
-                         b.metric == Metric::HitRatio || b.metric == Metric::HandshakesPerRequest;
+                         b.metric == Metric::FetchSurge || b.metric == Metric::HitRatio ||
+                         b.metric == Metric::HandshakesPerRequest;
       if (fleet && b.tenant) add(path("tenant"), "machines don't know whose request it is");
       if (b.metric == Metric::HandshakesPerRequest && b.cls) add(path("cls"), "connections have no class");
       if ((b.metric == Metric::WorstClass && b.cls) || (b.metric == Metric::WorstTenant && b.tenant)) {
         add(path(b.metric == Metric::WorstClass ? "cls" : "tenant"), "the worst of one is that one");
       }
+      if (b.metric == Metric::FetchSurge && b.from_ms <= 0) {
+        add(path("from_ms"), "must be above 0: what comes before it is the steady rate");
+      }
       if (b.tenant && *b.tenant < spec_.tenants.size()) {
         const TenantSpec& t = spec_.tenants[*b.tenant];
         if (!(t.share * t.usage > 0)) add(path("tenant"), "this tenant sends nothing");
       }
       if ((b.metric == Metric::HitRatio || b.metric == Metric::OriginPerS ||
-           b.metric == Metric::OriginPeakPerS) &&
+           b.metric == Metric::OriginPeakPerS || b.metric == Metric::FetchSurge) &&
           !spec_.origin.on) {
         add(path("metric"), "there is no origin");
       }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -120,6 +120,14 @@
   obligations.range("warm_after", s.warm_after_ms);
   obligations.range("start_capacity", s.start_capacity, 1);
   obligations.range("tip_after", s.tip_after_ms);
+
+  const Part resize = from.part("resize");
+  resize.range("settle", s.resize.settle_ms);
+  resize.range("ledger_multiple", s.resize.ledger_multiple);
+  resize.range("second_holder", s.resize.second_holder, 1);
+  if (s.resize.ledger_multiple > 0 && s.resize.ledger_multiple < 1) {
+    throw Error(resize.at("ledger_multiple") + ": must be 0 or 1 and more");
+  }
   return s;
 }
 
--- a/src/model/settings.cpp
+++ b/src/model/settings.cpp
@@ -33,6 +33,7 @@
   s.max_retry_after_ms = r.max_retry_after_ms;
   s.max_attempts = r.max_attempts;
   s.tick_ms = r.tick_ms;
+  s.resize = r.resize;
   // The routers are told what holds for every kind: the slowest warm-up, the least share, the shortest time.
   s.start_capacity = 1;
   for (const NodeKind& kind : spec.kinds) {
--- a/src/model/spec.h
+++ b/src/model/spec.h
@@ -151,6 +151,7 @@
   double drain_grace_ms = 250;
   double over_share_worth = 0.05;
   WeightKind weight_kind = WeightKind::Rough;
+  ResizeSettings resize;
 };
 
 // The plain front before the routers: clients of a zone are dealt over the zone's routers in turn.
@@ -369,6 +370,7 @@
   LatencyMs,      // at `quantile`, of what was served, from the intended send
   OriginPerS,     // fetches and writes that reach the origin, mean per second
   OriginPeakPerS, // in the worst second
+  FetchSurge,     // reads at the origin in the worst second (any 1000 ms), beside their mean before `from_ms`
   HitRatio,       // of the reads at the caches
   HandshakesPerRequest,
   RecoveryMs, // from `from_ms` until the service of each `window_ms` stays at `level` or more, up to `to_ms`
--- a/src/placement/key_memory.h
+++ b/src/placement/key_memory.h
@@ -1,5 +1,5 @@
-// Which caches this node saw holding a key lately. Decides; no I/O, no clock. Bounded: keys that share a slot
-// displace each other.
+// Which caches this node saw holding a key lately, and since when a write may have voided what was seen. Decides; no
+// I/O, no clock. Bounded: keys that share a slot displace each other.
 #pragma once
 
 #include <algorithm>
@@ -18,20 +18,22 @@
     std::uint64_t key = 0;
     std::array<ServerId, 2> holders{};
     std::uint8_t count = 0;
+    double voided_at = kNever;
   };
 
  public:
   explicit KeyMemory(std::size_t size) : slots_(size) {}
 
-  bool holds(std::uint64_t key, ServerId id) {
+  bool holds(std::uint64_t key, ServerId id) const {
     const Slot& s = at(key);
     return s.key == key &&
            std::find(s.holders.begin(), s.holders.begin() + s.count, id) != s.holders.begin() + s.count;
   }
-  void add(std::uint64_t key, ServerId id) {
+  // Seen by an attempt that was sent at `sent_at`: what a write has voided since is not taken as held.
+  void add(std::uint64_t key, ServerId id, double sent_at) {
     Slot& s = at(key);
-    if (s.key != key) s = {key, {}, 0};
-    if (holds(key, id)) return;
+    if (s.key != key) s = {key, {}, 0, kNever};
+    if (sent_at <= s.voided_at || holds(key, id)) return;
     if (s.count == s.holders.size()) s.holders[0] = s.holders[1], --s.count;
     s.holders[s.count++] = id;
   }
@@ -41,9 +43,21 @@
     if (s.holders[0] == id) s.holders[0] = s.holders[1];
     --s.count;
   }
+  // A write of the key has been carried out, or may have been: the origin drops all copies.
+  void voided(std::uint64_t key, double now) { at(key) = {key, {}, 0, now}; }
+  // Nothing that these servers held is believed any more, of any key: they have started anew.
+  template <typename Anew>
+  void forget(Anew anew) {
+    for (Slot& s : slots_) {
+      while (s.count > 0 && anew(s.holders[s.count - 1])) --s.count;
+      if (s.count > 0 && anew(s.holders[0])) s.holders[0] = s.holders[--s.count];
+    }
+  }
 
  private:
-  Slot& at(std::uint64_t key) { return slots_[mix(key) % slots_.size()]; }
+  std::size_t index(std::uint64_t key) const { return mix(key) % slots_.size(); }
+  Slot& at(std::uint64_t key) { return slots_[index(key)]; }
+  const Slot& at(std::uint64_t key) const { return slots_[index(key)]; }
   std::vector<Slot> slots_;
 };
 
--- /dev/null
+++ b/src/placement/pace.h
@@ -0,0 +1,65 @@
+// How many fetches a second this router may ask of the ledger while keys are on the move, and which of them may be
+// spent on filling new owners. Decides; no I/O, no clock.
+//
+// In steady times it learns how many fetches the reads bring. While a move is open, fetches together keep to a multiple
+// of that, at the traffic of the moment; a part of what is beyond the steady rate is for fills. Each router holds to its
+// own share of what it saw before, so all of them together hold to the whole without a message.
+//
+//  - Units: milliseconds on the caller's clock, which only advances; rates are per ms.
+//  - Use: tell read() for each read of a key, fetched() for each fetch that goes out; ask may_fetch() before it.
+//  - Ownership: plain values, nothing allocated.
+#pragma once
+
+#include <algorithm>
+
+#include "fernward/choice.h"
+#include "numbers/numbers.h"
+
+namespace fernward::placement {
+
+class Pace {
+ public:
+  explicit Pace(const ResizeSettings& set) : set_(set) {}
+
+  void read(double now);
+  void fetched(double now);
+
+  // The fleet has changed: the pace holds from now until `settle_ms` later, and on until fetches are nearly steady again,
+  // for four times as long at most.
+  void disturb(double now) {
+    until_ = std::max(until_, now + set_.settle_ms);
+    at_latest_ = now + 4 * set_.settle_ms;
+  }
+  bool open(double now) const { return now < until_; }
+
+  bool may_fetch(double now);
+  double per_ms(double now) const; // the most fetches that it allows; 0: it does not hold now
+
+  // How much of what it allows is taken up, `waiting` fetches being wanted besides; 0: it does not hold now.
+  double crowding(double now, double waiting) const;
+
+  enum class Fill { Move, Second };                    // to a new owner; to a second one in steady times
+  bool may_fill(double now, Fill what, double& saved); // `saved`: how many are saved up
+  void filled(Fill what) { tokens(what).count -= 1; }
+  void unfilled(Fill what) { tokens(what).count += 1; } // it cost no fetch after all
+
+  double steady_per_ms() const; // fetches; 0: none seen yet
+
+ private:
+  struct Bucket {
+    double count = 0, at = kNever;
+    void refill(double now, double per_ms, double most);
+  };
+  Bucket& tokens(Fill what) { return what == Fill::Move ? moves_ : seconds_; }
+  double base_per_ms() const; // the steady rate, at the traffic of the moment
+  bool known(double now) const;
+
+  ResizeSettings set_;
+  double until_ = kNever, at_latest_ = kNever;
+  double first_at_ = kNever, read_at_ = kNever, fetch_at_ = kNever;
+  double steady_reads_ = 0, steady_fetches_ = 0, reads_ = 0, recent_ = 0; // recent: fetches, over a second
+  double calming_ = 0;                                                    // the same over some seconds
+  Bucket fetches_, moves_, seconds_;
+};
+
+} // namespace fernward::placement
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,211 @@
+// Where keys live while the fleet changes: the ring, who was seen holding what, which nodes came so lately that the
+// owners before them are still worth reading, and how quickly the new ones may be filled. Decides; no I/O, no clock.
+//
+// No former ring is kept. Consistent hashing moves a key only to a node that has come, so whoever walks the present ring
+// past those that came lately stands before the key's former owner: the same answer as from a copy of the ring before,
+// over any number of changes, and a router that has just started can give it too, as the list tells when nodes started.
+//
+// `Members` is a map from id to Member, in the order of ids. `Member` has `Server entry` and `Seat seat`. Members outlive their points: one goes only after an arrange() in which
+// it was Gone.
+//
+//  - Units: milliseconds on the caller's clock, which only advances.
+//  - Size: by nodes, and fixed tables of keys; nothing grows with traffic. Of nodes that left 4,096 are remembered.
+//  - Off (`settle_ms` 0): the ring and the memory of holders alone.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "fernward/choice.h"
+#include "numbers/numbers.h"
+#include "placement/key_memory.h"
+#include "placement/pace.h"
+#include "placement/popularity.h"
+#include "placement/ring.h"
+
+namespace fernward::placement {
+
+constexpr std::size_t kCandidates = 3; // replicas a key is hashed to (paper: three)
+
+template <typename Member>
+class Placement {
+ public:
+  explicit Placement(const ResizeSettings& set) : set_(set), pace_(set) {
+    popularity_.choose(set.second_holder);
+  }
+
+  // ---- the list ----
+
+  // Takes a list as it is now. `on_ring(member)`: a cache that has a place, in service or draining.
+  template <typename Members, typename OnRing>
+  void arrange(double now, Members& members, bool weighted, OnRing on_ring) {
+    double sum = 0, count = 0;
+    for (const auto& [id, m] : members) {
+      if (on_ring(m)) sum += m.entry.weight, ++count;
+    }
+    // A power of two near the mean weight: it seldom changes with the list.
+    const double unit = sum > 0 ? std::exp2(std::round(std::log2(sum / count))) : 1;
+    ring_.build(members, [&](const Member& m) -> std::int64_t {
+      if (!on_ring(m)) return 0;
+      return std::lround(kPoints * (weighted ? std::clamp(m.entry.weight / unit, 0.25, 4.0) : 1));
+    });
+    if (on()) note_changes(now, members, on_ring);
+  }
+
+  // ---- a choice ----
+
+  struct Choice {
+    // The key's candidates on the present ring; behind them those that were its candidates before nodes came lately.
+    std::array<Member*, 2 * kCandidates> at{};
+    std::size_t size = 0;
+    Member* former = nullptr; // moving: who owned the key before its first candidate came, and may be asked
+    bool moving = false;      // its first candidate came lately and was not seen to hold it
+  };
+  template <typename Usable>
+  Choice candidates(double now, std::uint64_t key, Usable usable) {
+    Choice c;
+    std::size_t looked = 0, settled = 0;
+    std::array<Member*, kCandidates> before{};
+    std::size_t left = 0;
+    ring_.walk(key, [&](Member& m) {
+      if (!usable(m)) return true;
+      const bool candidate = c.size < kCandidates;
+      if (candidate) c.at[c.size++] = &m;
+      if (!on()) return c.size < kCandidates;
+      const bool lately = came_lately(now, key, m);
+      if (c.size == 1 && candidate) c.moving = lately && !memory_.holds(key, m.entry.id);
+      if (!lately) {
+        if (settled++ == 0 && c.moving) c.former = &m;
+        if (!candidate && (&m == c.former || memory_.holds(key, m.entry.id))) before[left++] = &m;
+      }
+      return c.size < kCandidates || (settled < kCandidates && ++looked < kFarthest);
+    });
+    for (std::size_t i = 0; i < left; ++i) c.at[c.size++] = before[i];
+    return c;
+  }
+
+  // Is the candidate believed to hold the key? Its first one is, as that is where every router looks, unless it came
+  // lately while another is known to hold the key; the others are where this router saw it, or where it was before.
+  bool likely(const Choice& c, std::size_t i, std::uint64_t key) const {
+    if (key != 0 && (c.at[i] == c.former || memory_.holds(key, c.at[i]->entry.id))) return true;
+    if (i > 0 || !c.moving || key == 0) return i == 0;
+    for (std::size_t k = 1; k < c.size; ++k) {
+      if (c.at[k] == c.former || memory_.holds(key, c.at[k]->entry.id)) return false;
+    }
+    return true;
+  }
+
+  // Whom to ask so that it fetches the key and holds it from then on: the new owner of a moving key, else the second
+  // candidate of a popular one. Null: nobody, for now. Popular keys go first: the less is saved up, the higher the bar.
+  Member* fill(double now, std::uint64_t key, const Choice& c, Pace::Fill& what) {
+    if (!on() || key == 0 || c.size == 0) return nullptr;
+    double saved = 0;
+    if (c.moving) {
+      what = Pace::Fill::Move;
+      if (c.former == nullptr || !pace_.may_fill(now, what, saved)) return nullptr;
+      const auto bar = saved < 2 ? Popularity::Fifth : saved < 3 ? Popularity::Half : Popularity::MostPart;
+      return popularity_.above(bar, key) ? c.at[0] : nullptr;
+    }
+    what = Pace::Fill::Second;
+    if (c.size < 2 || pace_.open(now) || !popularity_.above(Popularity::Chosen, key)) return nullptr;
+    if (!memory_.holds(key, c.at[0]->entry.id) || memory_.holds(key, c.at[1]->entry.id)) return nullptr;
+    return pace_.may_fill(now, what, saved) ? c.at[1] : nullptr;
+  }
+
+  // A read has missed and is about to be fetched: who else should hold the key, and would store it if asked first? It
+  // costs a miss and no fetch. `usable` leaves out those that were asked.
+  template <typename Usable>
+  Member* store_too(double now, std::uint64_t key, std::size_t missed, Usable usable) {
+    if (!on() || key == 0 || missed >= kStored) return nullptr;
+    Member* found = nullptr;
+    std::size_t place = 0;
+    ring_.walk(key, [&](Member& m) {
+      if (m.entry.state != ServerState::Ready) return true;
+      const bool owner = place == 0 && came_lately(now, key, m);
+      const bool second = place <= 1 && popularity_.above(Popularity::Chosen, key);
+      if ((owner || second) && usable(m)) found = &m;
+      return found == nullptr && ++place < 2;
+    });
+    return found;
+  }
+
+  // ---- what is seen ----
+
+  void read(double now, std::uint64_t key) {
+    if (!on()) return;
+    pace_.read(now);
+    if (key != 0) popularity_.seen(key);
+  }
+  void hit(std::uint64_t key, ServerId id, double sent_at) { memory_.add(key, id, sent_at); }
+  void missed(std::uint64_t key, ServerId id) { memory_.remove(key, id); }
+  void wrote(std::uint64_t key, double now) { // it has run, or may have
+    if (on() && key != 0) memory_.voided(key, now);
+  }
+  Pace& pace() { return pace_; }
+  const Pace& pace() const { return pace_; }
+
+ private:
+  static constexpr double kPoints = 64;        // ring points of a cache of typical weight
+  static constexpr std::size_t kSlots = 8192;  // keys whose holders are remembered
+  static constexpr std::size_t kFarthest = 64; // members walked past for a former owner
+  static constexpr std::size_t kStored = 2;    // of those that missed so many store what is fetched
+  static constexpr std::size_t kMostLeft = 4096;
+
+  bool on() const { return set_.settle_ms > 0; }
+
+  // Keys end their move one by one over the second half of the time: all at once they would fall on the ledger.
+  bool came_lately(double now, std::uint64_t key, const Member& m) const {
+    const double part = 0.5 + 0.5 * Random{key ^ 0x6d6f7665}.unit();
+    return now < m.seat.joined_at + part * set_.settle_ms;
+  }
+
+  template <typename Members, typename OnRing>
+  void note_changes(double now, Members& members, OnRing on_ring) {
+    bool changed = false;
+    std::vector<ServerId> anew; // in order, as the members are
+    for (auto& [id, m] : members) {
+      Seat& seat = m.seat;
+      const bool serves = on_ring(m) && m.entry.state == ServerState::Ready;
+      const bool restarted = seat.known && m.entry.booted_at > seat.booted_at;
+      if (serves && !seat.known) {
+        const auto was = left_.find(id);
+        const bool back = was != left_.end() && was->second.booted_at == m.entry.booted_at;
+        // The first list of all tells nothing of who came when, but when nodes have started.
+        seat.joined_at = back ? was->second.joined_at : !told_ ? started(m) : now;
+        if (!back && told_) anew.push_back(id);
+      }
+      if (restarted) anew.push_back(id), seat.joined_at = now;
+      changed |= serves != seat.serves || restarted;
+      if (seat.serves && !serves && left_.size() < kMostLeft)
+        left_[id] = {seat.booted_at, seat.joined_at, now};
+      if (serves || seat.known) seat.booted_at = m.entry.booted_at, seat.known = true;
+      seat.serves = serves;
+      if (!told_ && serves && now - seat.joined_at < set_.settle_ms) pace_.disturb(seat.joined_at);
+    }
+    if (!anew.empty()) {
+      memory_.forget([&](ServerId id) { return std::binary_search(anew.begin(), anew.end(), id); });
+    }
+    std::erase_if(left_, [&](const auto& l) { return now - l.second.at > set_.settle_ms; });
+    if (changed && told_) pace_.disturb(now);
+    told_ |= changed;
+  }
+  static double started(const Member& m) { return m.entry.booted_at > 0 ? m.entry.booted_at : kNever; }
+
+  struct Left {
+    double booted_at, joined_at, at;
+  };
+  ResizeSettings set_;
+  Ring<Member> ring_;
+  KeyMemory memory_{kSlots};
+  Popularity popularity_;
+  Pace pace_;
+  std::map<ServerId, Left> left_;
+  bool told_ = false; // a list with a node in service has come
+};
+
+} // namespace fernward::placement
--- a/src/placement/ring.h
+++ b/src/placement/ring.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cstddef>
 #include <cstdint>
 #include <utility>
@@ -17,9 +18,12 @@
 
 namespace fernward::placement {
 
-struct Seat { // what the ring keeps at a member
+struct Seat { // what is kept at a member
   std::int64_t points = 0;
   bool counted = false, stale = false; // scratch
+  // See Placement.
+  bool known = false, serves = false;            // it has been in service; it is now
+  double joined_at = kNever, booted_at = kNever; // since when it can have been given keys; its start
 };
 
 template <typename Member>
@@ -42,10 +46,7 @@
       }
     }
     if (changed) std::erase_if(points_, [](const Point& p) { return p.member->seat.stale; });
-    const auto before = [](const Point& a, const Point& b) {
-      return a.hash != b.hash ? a.hash < b.hash : a.id < b.id;
-    };
-    std::sort(added.begin(), added.end(), before);
+    sort(added);
     const auto old = static_cast<std::ptrdiff_t>(points_.size());
     points_.insert(points_.end(), added.begin(), added.end());
     std::inplace_merge(points_.begin(), points_.begin() + old, points_.end(), before);
@@ -54,20 +55,28 @@
   // The first distinct members clockwise of the key that `usable` lets through; the others are walked past.
   template <std::size_t N, typename Usable>
   std::size_t walk(std::uint64_t key, std::array<Member*, N>& found, Usable usable) {
+    std::size_t n = 0;
+    walk(key, [&](Member& m) {
+      if (usable(m)) found[n++] = &m;
+      return n < N;
+    });
+    return n;
+  }
+  // Each distinct member clockwise of the key, until `visit(member)` says no.
+  template <typename Visit>
+  void walk(std::uint64_t key, Visit visit) {
     auto at = std::lower_bound(points_.begin(), points_.end(), mix(key),
                                [](const Point& point, std::uint64_t h) { return point.hash < h; });
-    std::size_t n = 0;
     seen_.clear();
-    for (std::size_t i = 0; i < points_.size() && n < found.size(); ++i, ++at) {
+    for (std::size_t i = 0; i < points_.size(); ++i, ++at) {
       if (at == points_.end()) at = points_.begin();
       Member* m = at->member;
       if (m->seat.counted) continue;
       m->seat.counted = true;
       seen_.push_back(m);
-      if (usable(*m)) found[n++] = m;
+      if (!visit(*m)) break;
     }
     for (Member* m : seen_) m->seat.counted = false;
-    return n;
   }
 
  private:
@@ -76,6 +85,27 @@
     ServerId id;
     Member* member;
   };
+  static bool before(const Point& a, const Point& b) {
+    return a.hash != b.hash ? a.hash < b.hash : a.id < b.id;
+  }
+  // Hashes are spread evenly, so dealing them out by their first bits leaves next to nothing to sort: a list of a
+  // thousand nodes that comes whole must not hold the loop.
+  static void sort(std::vector<Point>& points) {
+    constexpr std::size_t kFew = 2048;
+    if (points.size() < kFew) return std::sort(points.begin(), points.end(), before);
+    const int bits = static_cast<int>(std::bit_width(points.size())) - 1;
+    std::vector<std::uint32_t> ends((std::size_t{1} << bits) + 1, 0);
+    const auto part = [bits](const Point& p) { return static_cast<std::size_t>(p.hash >> (64 - bits)); };
+    for (const Point& p : points) ++ends[part(p) + 1];
+    for (std::size_t i = 1; i < ends.size(); ++i) ends[i] += ends[i - 1];
+    std::vector<Point> dealt(points.size());
+    std::vector<std::uint32_t> next(ends.begin(), ends.end() - 1);
+    for (const Point& p : points) dealt[next[part(p)]++] = p;
+    for (std::size_t i = 0; i + 1 < ends.size(); ++i) {
+      std::sort(dealt.begin() + ends[i], dealt.begin() + ends[i + 1], before);
+    }
+    points = std::move(dealt);
+  }
   std::vector<Point> points_;
   std::vector<Member*> seen_;
 };
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -9,13 +9,13 @@
 namespace fernward {
 namespace {
 
-constexpr double kPoints = 64;      // ring points of a cache of typical weight
 constexpr double kMaxAskMs = 8000;  // the longest wait between calls to discovery that failed
 constexpr double kProbeShare = 0.1; // probes for each request where only probes bring reports
 
 } // namespace
 
-Balancer::Impl::Impl(const Settings& s, std::uint64_t seed) : set(s), random{mix(seed)} {
+Balancer::Impl::Impl(const Settings& s, std::uint64_t seed)
+    : set(s), random{mix(seed)}, places(s.origin_kind >= 0 ? s.resize : ResizeSettings{}) {
   take_classes();
   cache_late.slow_ms = origin_late.slow_ms = aim_ms / 3; // until answers tell
   fleet_ms = cache_late.slow_ms / 3;
@@ -72,20 +72,8 @@
 }
 
 void Balancer::Impl::arrange() {
-  const bool weighted = set.weight_kind != WeightKind::Live;
-  const auto on_ring = [this](const Replica& r) {
-    return !is_origin(r) && r.entry.state != ServerState::Gone;
-  };
-  double sum = 0, count = 0;
-  for (const auto& [id, r] : replicas) {
-    if (on_ring(r)) sum += r.entry.weight, ++count;
-  }
-  // A power of two near the mean weight: it seldom changes with the list.
-  const double unit = sum > 0 ? std::exp2(std::round(std::log2(sum / count))) : 1;
-  ring.build(replicas, [&](const Replica& r) -> std::int64_t {
-    if (!on_ring(r)) return 0;
-    return std::lround(kPoints * (weighted ? std::clamp(r.entry.weight / unit, 0.25, 4.0) : 1));
-  });
+  places.arrange(now, replicas, set.weight_kind != WeightKind::Live,
+                 [this](const Replica& r) { return !is_origin(r) && r.entry.state != ServerState::Gone; });
   origin = nullptr;
   caches = ejected = 0;
   for (auto& [id, r] : replicas) {
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -12,15 +12,13 @@
 #include "limits/limiter.h"
 #include "limits/queue.h"
 #include "limits/shedder.h"
-#include "placement/key_memory.h"
-#include "placement/ring.h"
+#include "placement/placement.h"
 #include "policy/replica.h"
 #include "requests/request.h"
 
 namespace fernward {
 
-constexpr double kTickMs = 100;         // housekeeping
-constexpr std::size_t kKeySlots = 8192; // keys whose holders a node remembers
+constexpr double kTickMs = 100; // housekeeping
 
 struct Balancer::Impl {
   Settings set;
@@ -28,7 +26,7 @@
   double now = 0;
   std::vector<Action>* actions = nullptr;
   std::map<ServerId, Replica> replicas;
-  placement::Ring<Replica> ring;
+  placement::Placement<Replica> places;
   Replica* origin = nullptr;
   limits::Limiter origin_limit = limits::Limiter::origin(1);
   limits::Queue origin_queue;
@@ -40,9 +38,8 @@
   std::unordered_map<std::uint64_t, std::vector<RequestId>> fetches; // by key: who waits for the leader
   limits::Shedder shedder;
   std::vector<double> tenant_rate; // requests a second here
-  placement::KeyMemory memory{kKeySlots};
-  double aim_ms = 3000; // the shortest
-  double fleet_ms = 0;  // mean of the caches' response times
+  double aim_ms = 3000;            // the shortest
+  double fleet_ms = 0;             // mean of the caches' response times
   limits::Lateness cache_late, origin_late;
   double failing = 0;     // share of the caches' attempts that fail
   double fleet_queue = 0; // mean of the caches' reported queues
@@ -91,7 +88,6 @@
   bool over_quota(std::uint32_t tenant);
   bool choose(Open& o);
   double origin_turn_ms() const;
-  double miss_chance(const Open& o, const Replica& r, bool first);
   bool send(Open& o, Replica& r);
 
   // health.cpp: which caches are left out
@@ -105,10 +101,10 @@
   void take(const StreamOpened& e);
   void take(const ProbeResult& e);
   void learn(Open& o, Attempt& a, Replica& r, const Outcome& e);
-  void learn_cache(Open& o, Replica& r, const Outcome& e, double elapsed);
+  void learn_cache(Open& o, const Attempt& a, Replica& r, const Outcome& e, double elapsed);
   void learn_origin(Replica& r, const Outcome& e, double elapsed);
   bool limit(const Open& o, Replica& r, const Outcome& e, double elapsed);
-  void note_hit(const Open& o, const Replica& r, bool hit);
+  void note_hit(Open& o, const Attempt& a, bool hit);
   void next_step(Open& o, const Outcome& e);
   void overdue(Open& o, std::size_t attempt);
 
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -2,16 +2,15 @@
 #include "policy/balancer.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
 
 namespace fernward {
 namespace {
 
-constexpr std::size_t kCandidates = 3; // replicas a key is hashed to (paper: three)
-constexpr double kOtherZone = 3;       // by which a cache in another zone than the node's scores worse
-constexpr double kPanicShare = 0.5;    // more ejected than this: the judgement is distrusted
+constexpr double kOtherZone = 3;    // by which a cache in another zone than the node's scores worse
+constexpr double kUnheld = 1e9;        // score of a cache that would have to fetch, while fetches are paced
+constexpr double kPanicShare = 0.5; // more ejected than this: the judgement is distrusted
 
 } // namespace
 
@@ -71,6 +70,7 @@
   }
   act(SetTimer{o.end_at - now, token(Timer::End, in.id)});
   if (in.write && set.origin_kind >= 0) return to_origin(o);
+  places.read(now, in.key);
   if (!choose(o)) to_origin(o); // which concludes where there is none
 }
 
@@ -89,33 +89,37 @@
 
 // The paper's choice among the key's candidates; false when there is none to send to.
 bool Balancer::Impl::choose(Open& o) {
-  std::array<Replica*, kCandidates> found;
   const std::uint64_t key = o.in.key != 0 ? o.in.key : mix(o.in.id);
-  const std::size_t n = ring.walk(key, found, [&](const Replica& r) {
+  const auto c = places.candidates(now, key, [&](const Replica& r) {
     return (now < r.full_until || o.missed_at(r.entry.id) || !o.tried(r.entry.id)) && repeatable(o, r) &&
            usable(r);
   });
-  std::size_t best = n;
+  std::size_t best = c.size;
   double best_score = std::numeric_limits<double>::infinity();
   const double turn = origin_turn_ms();
   if (!o.missed.empty()) best_score = turn; // or straight to the origin
-  for (std::size_t i = 0; i < n; ++i) {
+  Replica* const fill = o.attempts.empty() ? places.fill(now, o.in.key, c, o.fills) : nullptr;
+  for (std::size_t i = 0; i < c.size; ++i) {
+    Replica& r = *c.at[i];
     // Keeps its place all the same: the next is not the key's first cache.
-    if (o.missed_at(found[i]->entry.id) || now < found[i]->full_until ||
-        !start_allows(*found[i], o, i == 0) || !found[i]->gate.room(now, found[i]->working()))
+    if (o.missed_at(r.entry.id) || now < r.full_until || !start_allows(r, o, i == 0) ||
+        !r.gate.room(now, r.working()))
       continue;
-    double score =
-        found[i]->score(now, set.nodes, fleet_ms, fleet_queue, miss_chance(o, *found[i], i == 0) * turn);
+    const bool likely = places.likely(c, i, o.in.key);
+    double score = r.score(now, set.nodes, fleet_ms, fleet_queue, likely ? (1 - warmth(r)) * turn : turn);
     // A crossing is paid for and zones fail apart. In the cube 3 is a queue 1.44 times as long.
-    if (set.zone && found[i]->entry.zone != *set.zone) score *= kOtherZone;
+    if (set.zone && r.entry.zone != *set.zone) score *= kOtherZone;
+    if (!likely && places.pace().open(now)) score += kUnheld;
+    if (&r == fill) score = -1, o.filling = true;
     if (score < best_score) best_score = score, best = i;
   }
   shedder.seen += o.attempts.empty();
-  shedder.tight += o.attempts.empty() && best == n;
-  if (best == n && o.missed.empty()) allowance.ended(now, true);
-  if (best == n) return false;
-  for (std::size_t i = 0; i < n; ++i) found[i]->passed_over += i != best;
-  return send(o, *found[best]);
+  shedder.tight += o.attempts.empty() && best == c.size;
+  if (best == c.size && o.missed.empty()) allowance.ended(now, true);
+  if (best == c.size) return false;
+  for (std::size_t i = 0; i < c.size; ++i) c.at[i]->passed_over += i != best;
+  if (o.filling && c.at[best] == fill) places.pace().filled(o.fills);
+  return send(o, *c.at[best]);
 }
 
 // A miss costs a turn at the origin, a price that the paper has not: its response time, cubed up like a
@@ -124,17 +128,11 @@
 double Balancer::Impl::origin_turn_ms() const {
   if (origin == nullptr) return 0;
   const double wanted = origin->working() + static_cast<double>(origin_queue.size());
-  const double use = 2 * origin_limit.crowding(now, wanted);
+  const double pace = places.pace().crowding(now, static_cast<double>(origin_queue.size()));
+  const double use = 2 * std::max(origin_limit.crowding(now, wanted), pace);
   return origin->response(now, origin_limit.recent_ms()) * (1 + use * use * use);
 }
 
-// A key's first cache, where every node looks, and those that this node saw holding it count as holding it;
-// the others don't. (Shares of hits learned per place would level out: spreading keys makes them alike.)
-double Balancer::Impl::miss_chance(const Open& o, const Replica& r, bool first) {
-  const bool likely = first || (o.in.key != 0 && memory.holds(o.in.key, r.entry.id));
-  return 1 - (likely ? warmth(r) : 0);
-}
-
 bool Balancer::Impl::send(Open& o, Replica& r) {
   if (o.over || o.streaming || o.attempts.size() >= set.attempts_of(o.in.cls) || !repeatable(o, r))
     return false;
@@ -151,6 +149,7 @@
   ++o.out;
   ++r.open;
   is_origin(r) ? origin_limit.sent(now) : r.gate.sent(now);
+  if (is_origin(r) && !o.in.write) places.pace().fetched(now);
   act(Send{o.in.id, r.entry.id, 0});
   return true;
 }
--- a/src/policy/origin.cpp
+++ b/src/policy/origin.cpp
@@ -10,7 +10,13 @@
 
 void Balancer::Impl::after_miss(Open& o) {
   // Another candidate may hold it, at a lower price than the origin's; one attempt is kept for that.
-  if (o.attempts.size() + 1 < set.attempts_of(o.in.cls) && choose(o)) return;
+  if (o.attempts.size() + 1 < set.attempts_of(o.in.cls) && !o.filling) {
+    if (choose(o)) return;
+    Replica* const too = places.store_too(now, o.in.key, o.missed.size(), [&](const Replica& r) {
+      return !o.tried(r.entry.id) && usable(r) && start_allows(r, o, true) && r.gate.room(now, r.working());
+    });
+    if (too != nullptr && send(o, *too)) return;
+  }
   if (const auto it = fetches.find(o.in.key); o.in.key != 0 && it != fetches.end() && !o.leads) {
     it->second.push_back(o.in.id);
     return;
@@ -33,7 +39,8 @@
   pumping = true;
   // A closed loop: what may be out, each for a response time.
   const double answer_ms = origin_limit.recent_ms();
-  origin_queue.serves(answer_ms > 0 ? origin_limit.limit() / answer_ms : 0, answer_ms);
+  const double most = places.pace().per_ms(now), turns = answer_ms > 0 ? origin_limit.limit() / answer_ms : 0;
+  origin_queue.serves(most > 0 && turns > 0 ? std::min(most, turns) : turns, answer_ms);
   origin_queue.leave(now, leaving_queue);
   for (std::size_t i = 0; i < leaving_queue.size(); ++i) {
     if (Open* o = live(leaving_queue[i])) leave_queue(*o, Why::QueuedLate);
@@ -41,8 +48,8 @@
   leaving_queue.clear();
   while (true) {
     const std::uint32_t out = origin->working();
-    const auto next =
-        origin_queue.take(now, origin_limit.room(now, out, false), origin_limit.room(now, out, true));
+    const bool read_room = origin_limit.room(now, out, false) && places.pace().may_fetch(now);
+    const auto next = origin_queue.take(now, read_room, origin_limit.room(now, out, true));
     if (!next) break;
     Open* o = live(*next);
     if (o == nullptr) continue;
@@ -65,7 +72,7 @@
   const auto followers = std::move(it->second);
   fetches.erase(it);
   for (std::size_t i = 0; stored && i < std::min<std::size_t>(2, leader.missed.size()); ++i) {
-    memory.add(leader.in.key, leader.missed[i]);
+    places.hit(leader.in.key, leader.missed[i], leader.attempts.back().sent_at);
   }
   Replica* holder = leader.missed.empty() ? nullptr : find(leader.missed.front());
   for (const RequestId id : followers) {
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -29,7 +29,9 @@
   --o.out;
   if (Replica* r = find(a.server)) learn(o, a, *r, e);
   constexpr std::array kNeverRan = {Result::Full, Result::ConnectFailed, Result::Moot, Result::Miss};
-  o.maybe_ran |= std::find(kNeverRan.begin(), kNeverRan.end(), e.result) == kNeverRan.end();
+  const bool ran = std::find(kNeverRan.begin(), kNeverRan.end(), e.result) == kNeverRan.end();
+  o.maybe_ran |= ran;
+  if (ran && o.in.write) places.wrote(o.in.key, now);
   if (!o.over && e.ended) finish(o, e.result == Result::Ok);
   if (!o.over) next_step(o, e);
   if (o.over && o.out == 0) open.erase(e.id);
@@ -47,7 +49,7 @@
     r.overtaken_at = std::max(r.overtaken_at, a.sent_at);
   allowance.ended(now, limit(o, r, e, elapsed), failed(e.result));
   if (std::exchange(a.watched, false)) lateness(r).ended(e.result != Result::TimedOut);
-  is_origin(r) ? learn_origin(r, e, elapsed) : learn_cache(o, r, e, elapsed);
+  is_origin(r) ? learn_origin(r, e, elapsed) : learn_cache(o, a, r, e, elapsed);
 }
 
 // What the end tells of the server's crowding; true: a sign of it.
@@ -82,7 +84,7 @@
   return sign == limits::Sign::TurnedAway || sign == limits::Sign::Slow;
 }
 
-void Balancer::Impl::learn_cache(Open& o, Replica& r, const Outcome& e, double elapsed) {
+void Balancer::Impl::learn_cache(Open& o, const Attempt& a, Replica& r, const Outcome& e, double elapsed) {
   const bool well = e.result == Result::Ok || e.result == Result::Miss || e.result == Result::Full;
   // A connection that its cache had closed while it rested: the cache is well, the next connection will do.
   const bool stale = e.result == Result::Reset && e.rested;
@@ -96,11 +98,11 @@
       smooth(fleet_ms, elapsed, 0.02);
       cache_late.answered(elapsed);
       r.answered(now, elapsed);
-      note_hit(o, r, true);
+      note_hit(o, a, true);
       break;
     case Result::Miss:
       heard(r);
-      note_hit(o, r, false);
+      note_hit(o, a, false);
       o.missed.push_back(r.entry.id);
       break;
     case Result::Full: // for about as long as one request takes, another would be turned away too
@@ -123,9 +125,11 @@
   if (r.ejected && e.result != Result::Full) postpone_trial(r);
 }
 
-void Balancer::Impl::note_hit(const Open& o, const Replica& r, bool hit) {
+void Balancer::Impl::note_hit(Open& o, const Attempt& a, bool hit) {
+  if (hit && std::exchange(o.filling, false))
+    places.pace().unfilled(o.fills); // another router's fetch filled it
   if (set.origin_kind < 0 || o.in.key == 0) return;
-  hit ? memory.add(o.in.key, r.entry.id) : memory.remove(o.in.key, r.entry.id);
+  hit ? places.hit(o.in.key, a.server, a.sent_at) : places.missed(o.in.key, a.server);
 }
 
 void Balancer::Impl::learn_origin(Replica& r, const Outcome& e, double elapsed) {
--- a/src/setup/app.h
+++ b/src/setup/app.h
@@ -89,6 +89,10 @@
   double tick_ms = 1;
 };
 
+struct ResizeSetup { // see ResizeSettings
+  double settle_ms = 0, ledger_multiple = 2, second_holder = 0;
+};
+
 struct LogSetup {
   std::size_t format = 0; // text, json
   double per_s = 100;
@@ -124,6 +128,7 @@
   LimitSetup limits;
   ReportSetup reports;
   TierSetup tier;
+  ResizeSetup resize;
   LogSetup log;
   ApplicationSetup application;
   ExpectSetup expect;
--- a/src/setup/explain.cpp
+++ b/src/setup/explain.cpp
@@ -125,6 +125,15 @@
                   100 * load.share, 100 * load.writes, 100 * load.misses, 100 * load.no_room,
                   load.counts_memory ? "" : " (memory, keys or sizes are not told: misses are left out)");
     out += text;
+    if (app.resize.settle_ms > 0) {
+      out += "  When nodes come, their keys are read from former owners too, for up to " +
+             notation::quantity_text(Unit::Time, app.resize.settle_ms);
+      if (app.resize.ledger_multiple > 0) {
+        out += "; meanwhile fetches stay below " + notation::number_text(app.resize.ledger_multiple) +
+               " times their steady rate, and what is beyond waits or is refused with Retry-After";
+      }
+      out += ".\n";
+    }
   }
   return out;
 }
--- a/src/setup/keys.cpp
+++ b/src/setup/keys.cpp
@@ -176,6 +176,14 @@
            "of its worth that a request beyond its tenant's quota has");
   v.amount("tick_ms", a.tier.tick_ms, Unit::Time, "decisions are made at most this often");
   v.leave();
+  v.enter("resize", "when nodes come and go; needs a ledger");
+  v.amount("settle_ms", a.resize.settle_ms, Unit::Time,
+           "a node that came lately shares its keys with their former owners for this long; 0: off");
+  v.amount("ledger_multiple", a.resize.ledger_multiple, Unit::Number,
+           "meanwhile fetches stay below this times their steady rate; 0: no bound");
+  v.amount("second_holder", a.resize.second_holder, Unit::Share,
+           "of the reads, those of the most popular keys, that are kept at two nodes");
+  v.leave();
   v.enter("log", "what is written to standard error");
   v.choice("format", a.log.format, kFormats, false, "key=value, or an object of JSON for each line");
   v.amount("rate_per_s", a.log.per_s, Unit::Rate, "lines");
--- a/src/setup/render.cpp
+++ b/src/setup/render.cpp
@@ -92,6 +92,11 @@
                              {"warm_after", app.fleet.warm_after_ms},
                              {"start_capacity", app.fleet.start_capacity},
                              {"tip_after", app.fleet.tip_after_ms}};
+  if (app.resize.settle_ms > 0) {
+    settings["resize"] = {{"settle", app.resize.settle_ms},
+                          {"ledger_multiple", app.resize.ledger_multiple},
+                          {"second_holder", app.resize.second_holder}};
+  }
   return settings;
 }
 
--- a/src/setup/sound.cpp
+++ b/src/setup/sound.cpp
@@ -318,6 +318,12 @@
     if (app_.tier.routers == 0 || app_.tier.routers > 65536)
       fault("tier.routers", "value", "must be from 1 to 65536");
     at_most("tier.over_share_worth", app_.tier.over_share_worth, 1, "100%");
+    const ResizeSetup& r = app_.resize;
+    if (r.settle_ms > 0 && !app_.fleet.ledger)
+      fault("resize.settle_ms", "no-ledger", "nodes that come lately fetch from a ledger; this fleet has none");
+    if (r.ledger_multiple != 0 && r.ledger_multiple < 1)
+      fault("resize.ledger_multiple", "value", "must be 0 or 1 and more");
+    at_most("resize.second_holder", r.second_holder, 1, "100%");
     above("log.rate_per_s", app_.log.per_s);
     if (app_.log.burst == 0) fault("log.burst", "value", "must be above 0");
     const ApplicationSetup& p = app_.application;
--- /dev/null
+++ b/tests/placement/pace_test.cpp
@@ -0,0 +1,149 @@
+// The pace of fetches while keys move, and the sketch of popular keys.
+#include "placement/pace.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "placement/popularity.h"
+
+using namespace fernward;
+using placement::Pace;
+using placement::Popularity;
+
+namespace {
+
+struct Load {
+  double now = 1e6;
+  Random random{7};
+  double next(double per_ms) { return now += -std::log(1 - random.unit()) / per_ms; }
+};
+
+// Steady traffic: `per_ms` reads, a tenth of them fetched.
+void steady(Pace& pace, Load& load, double ms, double per_ms) {
+  for (const double end = load.now + ms; load.next(per_ms) < end;) {
+    pace.read(load.now);
+    if (load.random.unit() < 0.1) pace.fetched(load.now);
+  }
+}
+
+// The most fetches in any second, where every read wants one.
+std::size_t worst_second(Pace& pace, Load& load, double ms, double per_ms) {
+  std::deque<double> window;
+  std::size_t worst = 0;
+  for (const double end = load.now + ms; load.next(per_ms) < end;) {
+    pace.read(load.now);
+    if (!pace.may_fetch(load.now)) continue;
+    pace.fetched(load.now);
+    window.push_back(load.now);
+    while (window.front() <= load.now - 1000) window.pop_front();
+    worst = std::max(worst, window.size());
+  }
+  return worst;
+}
+
+} // namespace
+
+TEST_CASE(
+    "while a move is open fetches stay below twice the steady rate in any second, however many are wanted") {
+  for (const double per_ms : {0.1, 0.4, 2.0}) {
+    Pace pace({30000, 2, 0});
+    Load load;
+    steady(pace, load, 40000, per_ms);
+    const double before = 1000 * 0.1 * per_ms;
+    CHECK(1000 * pace.steady_per_ms() == doctest::Approx(before).epsilon(0.35));
+    pace.disturb(load.now);
+    CHECK(static_cast<double>(worst_second(pace, load, 25000, per_ms)) <= 2 * before + 1.5);
+  }
+}
+
+TEST_CASE("four routers that see unequal parts of the traffic keep to the whole without a word") {
+  std::size_t all = 0;
+  for (const double share : {0.4, 0.3, 0.2, 0.1}) {
+    Pace pace({30000, 2, 0});
+    Load load;
+    steady(pace, load, 40000, share);
+    pace.disturb(load.now);
+    all += worst_second(pace, load, 20000, share);
+  }
+  CHECK(all <= 2 * 100); // the worst seconds of all four, as though they were the same one
+}
+
+TEST_CASE("the pace follows the traffic, as a growing fleet goes with growing traffic") {
+  Pace pace({30000, 2, 0});
+  Load load;
+  steady(pace, load, 40000, 0.4);
+  pace.disturb(load.now);
+  const double before = pace.per_ms(load.now);
+  worst_second(pace, load, 8000, 1.2);
+  CHECK(pace.per_ms(load.now) > 2.2 * before);
+  CHECK(pace.per_ms(load.now) < 4 * before);
+}
+
+TEST_CASE("it holds on until what it kept back is through, and not for ever") {
+  Pace pace({10000, 2, 0});
+  Load load;
+  steady(pace, load, 40000, 0.4);
+  const double at = load.now;
+  pace.disturb(at);
+  worst_second(pace, load, 20000, 0.4);
+  CHECK(pace.open(load.now)); // twice its time: every read still wants a fetch
+  worst_second(pace, load, 30000, 0.4);
+  CHECK_FALSE(pace.open(load.now));
+  CHECK(load.now - at >= 40000);
+  Pace calm({10000, 2, 0});
+  Load quiet;
+  steady(calm, quiet, 40000, 0.4);
+  calm.disturb(quiet.now);
+  steady(calm, quiet, 15000, 0.4);
+  CHECK_FALSE(calm.open(quiet.now));
+}
+
+TEST_CASE("a router that has seen too little sets no bound, and without one set there is none") {
+  Pace fresh({30000, 2, 0});
+  fresh.disturb(1e6);
+  CHECK(fresh.may_fetch(1e6));
+  CHECK(fresh.per_ms(1e6) == 0);
+  Pace unbound({30000, 0, 0});
+  Load load;
+  steady(unbound, load, 40000, 0.4);
+  unbound.disturb(load.now);
+  CHECK(unbound.per_ms(load.now) == 0);
+}
+
+TEST_CASE("the most popular keys of a skewed load are told from the rest, in a table that does not grow") {
+  Popularity p;
+  p.choose(0.3);
+  Random random{3};
+  constexpr int kKeys = 20000;
+  const auto draw = [&] { // about one over the rank
+    return static_cast<std::uint64_t>(std::exp(random.unit() * std::log(static_cast<double>(kKeys))));
+  };
+  for (int i = 0; i < 200000; ++i) p.seen(draw());
+  std::map<Popularity::Bar, int> above;
+  constexpr int kDrawn = 20000;
+  for (int i = 0; i < kDrawn; ++i) {
+    const std::uint64_t key = draw();
+    for (const auto bar : {Popularity::Fifth, Popularity::Half, Popularity::MostPart, Popularity::Chosen}) {
+      above[bar] += p.above(bar, key);
+    }
+  }
+  CHECK(above[Popularity::Fifth] / double{kDrawn} == doctest::Approx(0.2).epsilon(0.4));
+  CHECK(above[Popularity::Chosen] / double{kDrawn} == doctest::Approx(0.3).epsilon(0.4));
+  CHECK(above[Popularity::Half] / double{kDrawn} == doctest::Approx(0.5).epsilon(0.3));
+  CHECK(above[Popularity::MostPart] / double{kDrawn} > 0.65);
+  CHECK(p.above(Popularity::Fifth, 1));
+  CHECK_FALSE(p.above(Popularity::Half, 15000));
+  SUBCASE("what was popular is forgotten once others are") {
+    for (int i = 0; i < 300000; ++i) p.seen(kKeys + draw());
+    CHECK_FALSE(p.above(Popularity::Half, 1));
+  }
+  SUBCASE("no share chosen, no key chosen") {
+    p.choose(0);
+    p.seen(1);
+    CHECK_FALSE(p.above(Popularity::Chosen, 1));
+  }
+}
--- /dev/null
+++ b/tests/placement/placement_test.cpp
@@ -0,0 +1,347 @@
+// Where keys live while the list changes: cases, and properties over random sequences of lists.
+#include "placement/placement.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace fernward;
+using placement::Pace;
+
+namespace {
+
+struct Node {
+  Server entry;
+  placement::Seat seat;
+};
+using Placement = placement::Placement<Node>;
+
+constexpr double kSettle = 30000;
+const ResizeSettings kOn{kSettle, 2, 0.3};
+
+// A router's view: a list of nodes and the placement made from it.
+struct Router {
+  explicit Router(ResizeSettings set = kOn) : places(set) {}
+  std::map<ServerId, Node> nodes;
+  Placement places;
+  double now = 1e6;
+
+  void list(const std::vector<Server>& servers) { // whole
+    for (auto& [id, n] : nodes) n.entry.state = ServerState::Gone;
+    for (const Server& s : servers) nodes[s.id].entry = s;
+    places.arrange(now, nodes, false, [](const Node& n) { return n.entry.state != ServerState::Gone; });
+    std::erase_if(nodes, [](const auto& n) { return n.second.entry.state == ServerState::Gone; });
+  }
+  Placement::Choice ask(std::uint64_t key) {
+    return places.candidates(now, key, [](const Node& n) { return n.entry.state == ServerState::Ready; });
+  }
+  ServerId owner(std::uint64_t key) {
+    const auto c = ask(key);
+    return c.size > 0 ? c.at[0]->entry.id : 0;
+  }
+};
+
+std::vector<Server> servers(std::uint32_t from, std::uint32_t to) {
+  std::vector<Server> made;
+  for (std::uint32_t id = from; id <= to; ++id) made.push_back({.id = id});
+  return made;
+}
+
+} // namespace
+
+TEST_CASE("a node more moves no more keys than its share, and the load stays even") {
+  constexpr int kKeys = 60000;
+  for (const std::uint32_t n : {8u, 20u, 200u}) {
+    Router r;
+    r.list(servers(1, n));
+    std::vector<ServerId> before(kKeys);
+    std::map<ServerId, int> load;
+    for (int k = 0; k < kKeys; ++k) ++load[before[k] = r.owner(k + 1)];
+    int most = 0;
+    for (const auto& [id, keys] : load) most = std::max(most, keys);
+    CHECK(most < 1.5 * kKeys / n);
+    r.list(servers(1, n + 1));
+    int moved = 0, elsewhere = 0;
+    for (int k = 0; k < kKeys; ++k) {
+      const ServerId now = r.owner(k + 1);
+      moved += now != before[k];
+      elsewhere += now != before[k] && now != n + 1;
+    }
+    CHECK(moved < 1.3 * kKeys / (n + 1));
+    CHECK(elsewhere == 0);
+  }
+}
+
+TEST_CASE("a thousand nodes that come whole stand where they stand when they come one by one") {
+  Router whole, slow;
+  whole.list(servers(1, 1000));
+  for (std::uint32_t n = 100; n <= 1000; n += 100) slow.list(servers(1, n));
+  for (std::uint64_t key = 1; key < 3000; ++key) CHECK(whole.owner(key) == slow.owner(key));
+}
+
+TEST_CASE(
+    "a key's former owner is believed to hold it, and the newcomer is not, until it shows that it does") {
+  Router r;
+  r.list(servers(1, 8));
+  std::map<std::uint64_t, ServerId> before;
+  for (std::uint64_t key = 1; key < 500; ++key) before[key] = r.owner(key);
+  r.now += 60000;
+  r.list(servers(1, 12));
+  int moving = 0;
+  for (const auto& [key, owner] : before) {
+    const auto c = r.ask(key);
+    CHECK(c.moving == (c.at[0]->entry.id != owner));
+    if (!c.moving) {
+      CHECK(r.places.likely(c, 0, key));
+      continue;
+    }
+    ++moving;
+    REQUIRE(c.former != nullptr);
+    CHECK(c.former->entry.id == owner);
+    for (std::size_t i = 0; i < c.size; ++i) CHECK(r.places.likely(c, i, key) == (c.at[i] == c.former));
+    r.places.hit(key, c.at[0]->entry.id, r.now);
+    const auto filled = r.ask(key);
+    CHECK_FALSE(filled.moving);
+    CHECK(r.places.likely(filled, 0, key));
+  }
+  CHECK(moving > 100);
+  r.now += kSettle;
+  for (const auto& [key, owner] : before) CHECK_FALSE(r.ask(key).moving);
+}
+
+TEST_CASE("moves end one by one, not all at once") {
+  Router r;
+  r.list(servers(1, 8));
+  r.now += 60000;
+  r.list(servers(1, 16));
+  const auto moving = [&] {
+    int n = 0;
+    for (std::uint64_t key = 1; key <= 2000; ++key) n += r.ask(key).moving;
+    return n;
+  };
+  const int all = moving();
+  r.now += 0.5 * kSettle;
+  CHECK(moving() > 0.95 * all);
+  for (const double left : {0.75, 0.5, 0.25}) {
+    r.now += kSettle / 8;
+    CHECK(moving() == doctest::Approx(left * all).epsilon(0.15));
+  }
+}
+
+TEST_CASE("second and third changes before the first has settled: who held a key before them all is asked") {
+  Router r;
+  r.list(servers(1, 6));
+  std::map<std::uint64_t, ServerId> before;
+  for (std::uint64_t key = 1; key < 300; ++key) before[key] = r.owner(key);
+  for (const std::uint32_t n : {8u, 10u, 12u}) {
+    r.now += 2000;
+    r.list(servers(1, n));
+  }
+  for (const auto& [key, owner] : before) {
+    const auto c = r.ask(key);
+    if (c.at[0]->entry.id == owner) continue;
+    REQUIRE(c.former != nullptr);
+    CHECK(c.former->entry.id == owner);
+  }
+}
+
+TEST_CASE("a node that comes back as it was has its keys; one that was started anew has none") {
+  Router r;
+  std::vector<Server> all = servers(1, 8);
+  for (Server& s : all) s.booted_at = 1000;
+  r.list(all);
+  r.now += 60000;
+  std::vector<std::uint64_t> keys;
+  for (std::uint64_t key = 1; key < 400; ++key) {
+    if (r.owner(key) == 8) keys.push_back(key);
+  }
+  REQUIRE(keys.size() > 10);
+  for (const std::uint64_t key : keys) r.places.hit(key, 8, r.now);
+  for (int flap = 0; flap < 5; ++flap) {
+    all.pop_back();
+    r.list(all);
+    r.now += 1000;
+    all.push_back({.id = 8, .booted_at = 1000});
+    r.list(all);
+    r.now += 1000;
+  }
+  for (const std::uint64_t key : keys) CHECK_FALSE(r.ask(key).moving);
+  SUBCASE("under the same id, seen to restart") { all.back().booted_at = r.now; }
+  SUBCASE("away and back with another start") {
+    all.pop_back();
+    r.list(all);
+    all.push_back({.id = 8, .booted_at = r.now});
+  }
+  r.list(all);
+  for (const std::uint64_t key : keys) CHECK(r.ask(key).moving);
+}
+
+TEST_CASE("the popular key on a node that was just started is asked of the next that may hold it") {
+  Router r;
+  std::vector<Server> all = servers(1, 8);
+  r.list(all);
+  const ServerId owner = r.owner(77);
+  r.now += 60000;
+  all[owner - 1].booted_at = r.now;
+  r.list(all);
+  const auto c = r.ask(77);
+  CHECK(c.moving);
+  REQUIRE(c.former != nullptr);
+  CHECK(c.former == c.at[1]);
+  CHECK_FALSE(r.places.likely(c, 0, 77));
+}
+
+TEST_CASE("a router that starts in the middle of a move reads the starts from its first list") {
+  Router old, fresh;
+  old.list(servers(1, 8));
+  old.now = fresh.now = old.now + 60000;
+  std::vector<Server> grown = servers(1, 12);
+  for (std::uint32_t id = 9; id <= 12; ++id) grown[id - 1].booted_at = old.now;
+  old.list(grown);
+  old.now += 5000, fresh.now += 5000;
+  fresh.list(grown);
+  for (std::uint64_t key = 1; key < 300; ++key) {
+    const auto a = old.ask(key), b = fresh.ask(key);
+    CHECK(a.moving == b.moving);
+    CHECK((a.former == nullptr ? 0 : a.former->entry.id) == (b.former == nullptr ? 0 : b.former->entry.id));
+  }
+  CHECK(fresh.places.pace().open(fresh.now));
+  Router calm; // and takes a fleet that has long been up for settled
+  std::vector<Server> settled = servers(1, 8);
+  for (Server& s : settled) s.booted_at = calm.now - 10 * kSettle;
+  calm.list(settled);
+  CHECK_FALSE(calm.places.pace().open(calm.now));
+  for (std::uint64_t key = 1; key < 100; ++key) CHECK_FALSE(calm.ask(key).moving);
+}
+
+TEST_CASE("what was seen before a write is not taken as held, wherever it was seen") {
+  Router r;
+  r.list(servers(1, 8));
+  r.now += 60000;
+  r.list(servers(1, 12));
+  std::uint64_t key = 1;
+  while (!r.ask(key).moving) ++key;
+  const ServerId now = r.ask(key).at[0]->entry.id, was = r.ask(key).former->entry.id;
+  const double sent = r.now; // a fetch goes out, the write overtakes it, the fetch ends
+  r.now += 20;
+  r.places.hit(key, was, r.now);
+  r.places.wrote(key, r.now);
+  r.now += 20;
+  r.places.hit(key, now, sent);
+  CHECK(r.ask(key).moving);
+  r.places.hit(key, now, r.now);
+  CHECK_FALSE(r.ask(key).moving);
+}
+
+TEST_CASE("fills: popular keys first, at the new owner, each paid from what is saved up") {
+  Router r;
+  r.list(servers(1, 8));
+  for (int i = 0; i < 4000; ++i) { // 10 s of traffic, one read in five of key 7; one in ten is fetched
+    r.now += 2.5;
+    r.places.read(r.now, i % 5 == 0 ? 7 : 1000 + i);
+    if (i % 10 == 1) r.places.pace().fetched(r.now);
+  }
+  r.list(servers(1, 64));
+  std::uint64_t rare = 100000;
+  while (!r.ask(rare).moving) ++rare;
+  REQUIRE(r.ask(7).moving);
+  Pace::Fill what{};
+  CHECK(r.places.fill(r.now, rare, r.ask(rare), what) == nullptr);
+  Node* const owner = r.places.fill(r.now, 7, r.ask(7), what);
+  REQUIRE(owner != nullptr);
+  CHECK(owner->entry.id == r.owner(7));
+  CHECK(what == Pace::Fill::Move);
+  r.places.pace().filled(what);
+  CHECK(r.places.fill(r.now, 7, r.ask(7), what) == nullptr); // nothing saved up
+  r.places.pace().unfilled(what);
+  CHECK(r.places.fill(r.now, 7, r.ask(7), what) != nullptr);
+}
+
+TEST_CASE(
+    "a read about to be fetched asks who should hold the key: the new owner, or a popular key's second") {
+  const auto any = [](const Node&) { return true; };
+  Router r;
+  r.list(servers(1, 8));
+  for (int i = 0; i < 2000; ++i) r.places.read(r.now += 1, i % 3 == 0 ? 7 : 1000 + i);
+  CHECK(r.places.store_too(r.now, 5000000, 1, any) == nullptr);
+  const auto c = r.ask(7);
+  CHECK(r.places.store_too(r.now, 7, 1, [&](const Node& n) { return &n != c.at[0]; }) == c.at[1]);
+  CHECK(r.places.store_too(r.now, 7, 2, any) == nullptr); // no more than two store it
+  r.list(servers(1, 16));
+  std::uint64_t key = 6000000;
+  while (!r.ask(key).moving) ++key;
+  CHECK(r.places.store_too(r.now, key, 1, any) == r.ask(key).at[0]);
+}
+
+TEST_CASE("off: three candidates of the ring, no more") {
+  Router r{ResizeSettings{}};
+  r.list(servers(1, 8));
+  r.now += 60000;
+  r.list(servers(1, 16));
+  Pace::Fill what{};
+  for (std::uint64_t key = 1; key < 200; ++key) {
+    const auto c = r.ask(key);
+    CHECK(c.size == 3);
+    CHECK_FALSE(c.moving);
+    CHECK(r.places.likely(c, 0, key));
+    CHECK(r.places.fill(r.now, key, c, what) == nullptr);
+  }
+  CHECK_FALSE(r.places.pace().open(r.now));
+  CHECK(r.places.pace().may_fetch(r.now));
+}
+
+TEST_CASE("properties over random sequences of lists") {
+  CHECK(rc::check("every key has a place, nobody out of service is named, each move ends, routers agree", [] {
+    Router r;
+    std::map<ServerId, Server> fleet;
+    ServerId last = 0;
+    const int steps = *rc::gen::inRange(1, 25);
+    for (int step = 0; step < steps; ++step) {
+      const int changes = *rc::gen::inRange(1, 6);
+      for (int c = 0; c < changes; ++c) {
+        const int what = *rc::gen::inRange(0, 6);
+        if (what <= 1 || fleet.empty()) {
+          fleet[++last] = {.id = last, .booted_at = *rc::gen::arbitrary<bool>() ? r.now : 0};
+          continue;
+        }
+        auto it = std::next(fleet.begin(), *rc::gen::inRange<int>(0, static_cast<int>(fleet.size())));
+        if (what == 2) it->second.state = ServerState::Draining;
+        if (what == 3) it->second.state = ServerState::Ready;
+        if (what == 4) it->second.booted_at = r.now;
+        if (what == 5) fleet.erase(it);
+      }
+      std::vector<Server> list;
+      bool serves = false;
+      for (const auto& [id, s] : fleet) list.push_back(s), serves |= s.state == ServerState::Ready;
+      r.list(list);
+      Router other; // learns all of it at once
+      other.now = r.now;
+      other.list(list);
+      for (std::uint64_t key = 1; key <= 40; ++key) {
+        const auto c = r.ask(key);
+        RC_ASSERT((c.size > 0) == serves);
+        std::set<ServerId> named;
+        for (std::size_t i = 0; i < c.size; ++i) {
+          RC_ASSERT(c.at[i]->entry.state == ServerState::Ready);
+          RC_ASSERT(named.insert(c.at[i]->entry.id).second);
+        }
+        if (c.former != nullptr) {
+          RC_ASSERT(named.count(c.former->entry.id) == std::size_t{1});
+          RC_ASSERT(c.former != c.at[0]);
+        }
+        RC_ASSERT(r.owner(key) == other.owner(key));
+        Pace::Fill what{};
+        const Node* const fill = r.places.fill(r.now, key, c, what);
+        if (fill != nullptr) RC_ASSERT(named.count(fill->entry.id) == std::size_t{1});
+        if (c.size > 0 && *rc::gen::inRange(0, 4) == 0) r.places.hit(key, c.at[0]->entry.id, r.now);
+      }
+      r.now += *rc::gen::inRange(1, 20000);
+    }
+    r.now += kSettle;
+    for (std::uint64_t key = 1; key <= 40; ++key) RC_ASSERT(!r.ask(key).moving);
+  }));
+}
