--- a/src/placement/pace.cpp
+++ b/src/placement/pace.cpp
@@ -14,9 +14,10 @@
 constexpr double kCalmingMs = 4000; // over which they are taken to tell whether a move is over
 constexpr double kCalm = 1.15;      // times the steady rate: it is
 constexpr double kUnrest = 8;       // times settle_ms, after which a fleet that never rests is taken as it is
-constexpr double kKnownMs = 4000;   // watched for less, the steady rate is not known
-constexpr double kAssumed =
-    0.12; // of the reads, that are fetched while it is not: caches that are worth having
+// Watched in steady times for less, the steady rate is not known, and taken to be a share of the reads, as of caches that
+// are worth having, or a part of what was seen meanwhile.
+constexpr double kKnownMs = 4000;
+constexpr double kAssumed = 0.1, kUnsure = 0.7;
 // Of the multiple, that is given out: chance makes some seconds busier than others, and the routers' shares are not
 // exactly what they were.
 constexpr double kOfMultiple = 0.8;
@@ -46,15 +47,16 @@
   at = now;
 }
 
-bool Pace::known(double now) const { return first_at_ != kNever && now - first_at_ >= kKnownMs; }
+bool Pace::known() const { return calm_ms_ >= kKnownMs; }
 
 // What fetches a move brings is not steady; but where one follows upon the other for ever, there is nothing else.
 bool Pace::learns(double now) const {
-  return !open(now) || !known(now) || now - opened_at_ > kUnrest * set_.settle_ms;
+  return !open(now) || !known() || now - opened_at_ > kUnrest * set_.settle_ms;
 }
 
 void Pace::read(double now) {
-  if (first_at_ == kNever) first_at_ = now;
+  if (read_at_ != kNever && !open(now)) calm_ms_ += std::min(now - read_at_, kTrafficMs);
+  read_at_ = now;
   reads_.add(now, kTrafficMs);
   if (learns(now)) {
     steady_fetches_.add(now, kSteadyMs, 0); // both are watched for the same time
@@ -80,7 +82,8 @@
 
 double Pace::base_per_ms(double now) const {
   const double traffic = reads_.per_ms(now, kTrafficMs);
-  if (!known(now)) return kAssumed * traffic;
+  // Seen in a move alone it may be what the pace itself let through: it counts for less, else it would raise itself.
+  if (!known()) return std::max(kAssumed * traffic, kUnsure * steady_per_ms(now));
   const double before = steady_reads_.per_ms(now, kSteadyMs);
   return before > 0 ? steady_per_ms(now) * std::max(1.0, traffic / before / kByChance) : 0;
 }
--- a/src/placement/pace.h
+++ b/src/placement/pace.h
@@ -69,11 +69,11 @@
   };
   Bucket& tokens(Fill what) { return what == Fill::Move ? moves_ : seconds_; }
   double base_per_ms(double now) const; // the steady rate, at the traffic of the moment
-  bool known(double now) const;
+  bool known() const;                   // from steady times
   bool learns(double now) const;
 
   ResizeSettings set_;
-  double until_ = kNever, opened_at_ = kNever, at_latest_ = kNever, first_at_ = kNever;
+  double until_ = kNever, opened_at_ = kNever, at_latest_ = kNever, read_at_ = kNever, calm_ms_ = 0;
   Rate steady_reads_, steady_fetches_, reads_, recent_,
       calming_; // recent, calming: fetches, over a second, over some
   Bucket fetches_, moves_, seconds_;
--- a/src/setup/fresh.cpp
+++ b/src/setup/fresh.cpp
@@ -101,7 +101,8 @@
       "\n[[map]]  # what requests are that do not say so in X-Priority-Class and X-Tenant-Id\npath = "
       "\"/\"\nmethod = \"GET\"\nclass = \"lookup\"\ntenant = \"all\"\n";
   out += "\n[[map]]\npath = \"/\"\nmethod = \"PUT\"\nclass = \"book\"\ntenant = \"all\"\n";
-  for (const char* key : {"attempts", "limits", "reports", "tier", "resize", "log", "application", "expect"}) {
+  for (const char* key :
+       {"attempts", "limits", "reports", "tier", "resize", "log", "application", "expect"}) {
     out += std::string("\n[") + key + "]  # " + part(top, key).doc + "\n";
     commented(part(top, key), {}, out);
   }
--- a/src/setup/sound.cpp
+++ b/src/setup/sound.cpp
@@ -320,7 +320,8 @@
     at_most("tier.over_share_worth", app_.tier.over_share_worth, 1, "100%");
     const ResizeSetup& r = app_.resize;
     if (r.settle_ms > 0 && !app_.fleet.ledger)
-      fault("resize.settle_ms", "no-ledger", "nodes that come lately fetch from a ledger; this fleet has none");
+      fault("resize.settle_ms", "no-ledger",
+            "nodes that come lately fetch from a ledger; this fleet has none");
     if (r.ledger_multiple != 0 && r.ledger_multiple < 1)
       fault("resize.ledger_multiple", "value", "must be 0 or 1 and more");
     at_most("resize.second_holder", r.second_holder, 1, "100%");
