--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -107,19 +107,21 @@
 
   // Whom to ask so that it fetches the key and holds it from then on: the new owner of a moving key, else the second
   // candidate of a popular one. Null: nobody, for now. Popular keys go first: the less is saved up, the higher the bar.
-  Member* fill(double now, std::uint64_t key, const Choice& c, Pace::Fill& what) {
-    if (!on() || key == 0 || c.size == 0) return nullptr;
+  struct Filling {
+    Member* whom = nullptr;
+    Pace::Fill what{}; // what it is to be paid from, once it is sent
+  };
+  Filling fill(double now, std::uint64_t key, const Choice& c) {
+    if (!on() || key == 0 || c.size == 0) return {};
     double saved = 0;
     if (c.moving) {
-      what = Pace::Fill::Move;
-      if (c.former == nullptr || !pace_.may_fill(now, what, saved)) return nullptr;
+      if (c.former == nullptr || !pace_.may_fill(now, Pace::Fill::Move, saved)) return {};
       const auto bar = saved < 2 ? Popularity::Fifth : saved < 3 ? Popularity::Half : Popularity::MostPart;
-      return popularity_.above(bar, key) ? c.at[0] : nullptr;
+      return {popularity_.above(bar, key) ? c.at[0] : nullptr, Pace::Fill::Move};
     }
-    what = Pace::Fill::Second;
-    if (c.size < 2 || pace_.open(now) || !popularity_.above(Popularity::Chosen, key)) return nullptr;
-    if (!memory_.holds(key, c.at[0]->entry.id) || memory_.holds(key, c.at[1]->entry.id)) return nullptr;
-    return pace_.may_fill(now, what, saved) ? c.at[1] : nullptr;
+    if (c.size < 2 || pace_.open(now) || !popularity_.above(Popularity::Chosen, key)) return {};
+    if (!memory_.holds(key, c.at[0]->entry.id) || memory_.holds(key, c.at[1]->entry.id)) return {};
+    return {pace_.may_fill(now, Pace::Fill::Second, saved) ? c.at[1] : nullptr, Pace::Fill::Second};
   }
 
   // A read has missed and is about to be fetched: who else should hold the key, and would store it if asked first? It
@@ -169,36 +171,42 @@
     return now < m.seat.joined_at + part * set_.settle_ms;
   }
 
+  // Who came, went or started anew since the last list: whose keys are forgotten, and whether the pace holds from now on.
   template <typename Members, typename OnRing>
   void note_changes(double now, Members& members, OnRing on_ring) {
+    const bool first = !told_; // it tells nothing of who came when, but when nodes have started
     bool changed = false;
     std::vector<ServerId> anew; // in order, as the members are
     for (auto& [id, m] : members) {
       Seat& seat = m.seat;
       const bool serves = on_ring(m) && m.entry.state == ServerState::Ready;
       const bool restarted = seat.known && m.entry.booted_at > seat.booted_at;
-      if (serves && !seat.known) {
-        const auto was = left_.find(id);
-        const bool back = was != left_.end() && was->second.booted_at == m.entry.booted_at;
-        // The first list of all tells nothing of who came when, but when nodes have started.
-        seat.joined_at = back ? was->second.joined_at : !told_ ? started(m) : now;
-        if (!back && told_) anew.push_back(id);
+      if (restarted || (serves && !seat.known && !back(id, m))) {
+        seat.joined_at = first ? started(m) : now;
+        if (!first) anew.push_back(id);
       }
-      if (restarted) anew.push_back(id), seat.joined_at = now;
-      changed |= serves != seat.serves || restarted;
+      if (first && serves && now - seat.joined_at < set_.settle_ms) pace_.disturb(seat.joined_at);
       if (seat.serves && !serves && left_.size() < kMostLeft)
         left_[id] = {seat.booted_at, seat.joined_at, now};
-      if (serves || seat.known) seat.booted_at = m.entry.booted_at, seat.known = true;
+      changed |= serves != seat.serves || restarted;
       seat.serves = serves;
-      if (!told_ && serves && now - seat.joined_at < set_.settle_ms) pace_.disturb(seat.joined_at);
+      seat.known |= serves;
+      if (seat.known) seat.booted_at = m.entry.booted_at;
     }
     if (!anew.empty()) {
       memory_.forget([&](ServerId id) { return std::binary_search(anew.begin(), anew.end(), id); });
     }
     std::erase_if(left_, [&](const auto& l) { return now - l.second.at > set_.settle_ms; });
-    if (changed && told_) pace_.disturb(now);
+    if (changed && !first) pace_.disturb(now);
     told_ |= changed;
   }
+  // It left a while ago and is the same process: it has what it had.
+  bool back(ServerId id, Member& m) {
+    const auto was = left_.find(id);
+    if (was == left_.end() || was->second.booted_at != m.entry.booted_at) return false;
+    m.seat.joined_at = was->second.joined_at;
+    return true;
+  }
   static double started(const Member& m) { return m.entry.booted_at > 0 ? m.entry.booted_at : kNever; }
 
   struct Left {
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -98,7 +98,7 @@
   double best_score = std::numeric_limits<double>::infinity();
   const double turn = origin_turn_ms();
   if (!o.missed.empty()) best_score = turn; // or straight to the origin
-  Replica* const fill = o.attempts.empty() ? places.fill(now, o.in.key, c, o.fills) : nullptr;
+  const auto fill = o.attempts.empty() ? places.fill(now, o.in.key, c) : decltype(places)::Filling{};
   for (std::size_t i = 0; i < c.size; ++i) {
     Replica& r = *c.at[i];
     // Keeps its place all the same: the next is not the key's first cache.
@@ -110,7 +110,7 @@
     // A crossing is paid for and zones fail apart. In the cube 3 is a queue 1.44 times as long.
     if (set.zone && r.entry.zone != *set.zone) score *= kOtherZone;
     if (!likely && places.lately(now, key, r)) score += kUnheld;
-    if (&r == fill) score = -1, o.filling = true;
+    if (&r == fill.whom) score = -1, o.filling = fill.what;
     if (score < best_score) best_score = score, best = i;
   }
   shedder.seen += o.attempts.empty();
@@ -118,7 +118,7 @@
   if (best == c.size && o.missed.empty()) allowance.ended(now, true);
   if (best == c.size) return false;
   for (std::size_t i = 0; i < c.size; ++i) c.at[i]->passed_over += i != best;
-  if (o.filling && c.at[best] == fill) places.pace().filled(o.fills);
+  if (c.at[best] == fill.whom) places.pace().filled(fill.what);
   return send(o, *c.at[best]);
 }
 
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -126,8 +126,8 @@
 }
 
 void Balancer::Impl::note_hit(Open& o, const Attempt& a, bool hit) {
-  if (hit && std::exchange(o.filling, false))
-    places.pace().unfilled(o.fills); // another router's fetch filled it
+  if (hit && o.filling)
+    places.pace().unfilled(*std::exchange(o.filling, {})); // another router's fetch filled it
   if (set.origin_kind < 0 || o.in.key == 0) return;
   hit ? places.hit(o.in.key, a.server, a.sent_at) : places.missed(o.in.key, a.server);
 }
--- a/src/requests/request.h
+++ b/src/requests/request.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "fernward/choice.h"
@@ -38,9 +39,9 @@
   std::vector<Attempt> attempts;
   std::vector<ServerId> missed;
   std::uint32_t out = 0;
-  placement::Pace::Fill
-      fills{}; // filling: for which purpose its first attempt goes where the key is not held
-  bool filling = false, over = false, streaming = false, maybe_ran = false, leads = false, queued = false;
+  std::optional<placement::Pace::Fill>
+      filling; // its first attempt goes where the key is not held, to be stored there
+  bool over = false, streaming = false, maybe_ran = false, leads = false, queued = false;
   double ran_at = 0; // send of the first attempt that may have run, and its server's group
   std::uint32_t ran_zone = 0, ran_cell = 0;
 
--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -249,16 +249,15 @@
   std::uint64_t rare = 100000;
   while (!r.ask(rare).moving) ++rare;
   REQUIRE(r.ask(7).moving);
-  Pace::Fill what{};
-  CHECK(r.places.fill(r.now, rare, r.ask(rare), what) == nullptr);
-  Node* const owner = r.places.fill(r.now, 7, r.ask(7), what);
+  CHECK(r.places.fill(r.now, rare, r.ask(rare)).whom == nullptr);
+  const auto [owner, what] = r.places.fill(r.now, 7, r.ask(7));
   REQUIRE(owner != nullptr);
   CHECK(owner->entry.id == r.owner(7));
   CHECK(what == Pace::Fill::Move);
   r.places.pace().filled(what);
-  CHECK(r.places.fill(r.now, 7, r.ask(7), what) == nullptr); // nothing saved up
+  CHECK(r.places.fill(r.now, 7, r.ask(7)).whom == nullptr); // nothing saved up
   r.places.pace().unfilled(what);
-  CHECK(r.places.fill(r.now, 7, r.ask(7), what) != nullptr);
+  CHECK(r.places.fill(r.now, 7, r.ask(7)).whom != nullptr);
 }
 
 TEST_CASE(
@@ -282,13 +281,12 @@
   r.list(servers(1, 8));
   r.now += 60000;
   r.list(servers(1, 16));
-  Pace::Fill what{};
   for (std::uint64_t key = 1; key < 200; ++key) {
     const auto c = r.ask(key);
     CHECK(c.size == 3);
     CHECK_FALSE(c.moving);
     CHECK(r.places.likely(c, 0, key));
-    CHECK(r.places.fill(r.now, key, c, what) == nullptr);
+    CHECK(r.places.fill(r.now, key, c).whom == nullptr);
   }
   CHECK_FALSE(r.places.pace().open(r.now));
   CHECK(r.places.pace().may_fetch(r.now));
@@ -334,8 +332,7 @@
           RC_ASSERT(c.former != c.at[0]);
         }
         RC_ASSERT(r.owner(key) == other.owner(key));
-        Pace::Fill what{};
-        const Node* const fill = r.places.fill(r.now, key, c, what);
+        const Node* const fill = r.places.fill(r.now, key, c).whom;
         if (fill != nullptr) RC_ASSERT(named.count(fill->entry.id) == std::size_t{1});
         if (c.size > 0 && *rc::gen::inRange(0, 4) == 0) r.places.hit(key, c.at[0]->entry.id, r.now);
       }
