Nobody waits at the origin for what can't come in time any more

Seen by reading, then by tests: a request that the origin had turned away waits about one of its response times before it is asked again. And a request whose fetch got no place in the origin's queue while an attempt of its own was out passed for the one that fetches: readers of the same key joined it and waited (test: for ever, now refused at once).

Ruled out: dropping the pause altogether.

Lines at fault: outcome.cpp next_step(), origin.cpp to_origin(). GivingUp.EachWayAnswersAtOnce holds every other way.

--- a/src/policy/origin.cpp
+++ b/src/policy/origin.cpp
@@ -28,9 +28,9 @@
   if (origin == nullptr) return conclude(o, Why::NoTarget);
   if (o.attempts.size() >= set.attempts_of(o.in.cls) || !repeatable(o, *origin))
     return conclude(o, blocked(o, *origin));
-  if (!o.in.write && o.in.key != 0) o.leads = fetches.try_emplace(o.in.key).second || o.leads;
   o.queued = origin_queue.add(now, o.in.id, o.value, o.end_at, o.in.write);
   if (!o.queued) return conclude(o, Why::QueuedLate);
+  if (!o.in.write && o.in.key != 0) o.leads = fetches.try_emplace(o.in.key).second || o.leads;
   pump_origin();
 }
 
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -160,8 +160,9 @@
     // A fault, not crowding: there is nothing to wait for.
     if (e.result == Result::Error || e.result == Result::Reset) return to_origin(o);
     if (!repeatable(o, *origin)) return conclude(o, Why::Class);
-    const double turn = std::max(origin_limit.recent_ms(), set.tick_ms);
-    return act(SetTimer{turn * (0.5 + random.unit()), token(Timer::Again, o.in.id)});
+    const double wait = std::max(origin_limit.recent_ms(), set.tick_ms) * (0.5 + random.unit());
+    if (now + wait >= o.end_at) return conclude(o, Why::QueuedLate); // to give up is to answer now
+    return act(SetTimer{wait, token(Timer::Again, o.in.id)});
   }
   if (!choose(o)) to_origin(o); // which concludes where there is none
 }
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -59,7 +59,8 @@
   aim_ms = 3000;
   for (const ClassSettings& c : set.classes) {
     for (const double share : {1.0, set.over_share_worth}) shedder.value.push_back(c.worth * share);
-    if (c.aim_ms > 0) aim_ms = std::min(aim_ms, c.aim_ms);
+    const double aim = c.aim_ms > 0 ? c.aim_ms : c.give_up_ms; // as Settings has it
+    if (aim > 0) aim_ms = std::min(aim_ms, aim);
   }
   shedder.rate.resize(shedder.value.size());
   tenant_rate.resize(set.tenants.size());
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -1246,6 +1246,169 @@
   for (const std::string& kind : kinds) EXPECT_NE(page.find('`' + kind + '`'), std::string::npos) << kind;
 }
 
+// ---- to give up is to answer now ----
+
+// An origin of 400 ms that is full of dearer requests which have time.
+void crowded_settings(Settings& s) {
+  s.origin_kind = kOriginKind;
+  s.classes.push_back(
+      {.aim_ms = 60000, .give_up_ms = 60000, .worth = 9, .repeat = Repeat::Safe, .scope = Scope::All});
+}
+void crowd(Node& node) {
+  node.caches(3, true);
+  for (RequestId id = 2000; id < 2020; ++id) {
+    node.request(id, id, {.cls = 1, .deadline = node.now + 60000, .write = true});
+    node.wait(400);
+    node.outcome(id, Result::Ok, 400);
+  }
+  for (RequestId id = 3000; id < 3200; ++id)
+    node.request(id, id, {.cls = 1, .deadline = node.now + 60000, .write = true});
+}
+
+// No way of giving a request up holds its answer back: it goes out in the same moment as what decided it.
+TEST(GivingUp, EachWayAnswersAtOnce) {
+  struct Way {
+    const char* what;
+    Why why;
+    std::function<void(Settings&)> with;
+    std::function<void(Node&)> play; // request 1
+  };
+  const auto asked = [](Node& node) { node.caches(3), node.request(1, 42), node.wait(20); };
+  const std::vector<Way> ways = {
+      {"its time is over",
+       Why::Shed,
+       {},
+       [](Node& n) { n.caches(3), n.request(1, 42, {.deadline = n.now - 1}); }},
+      {"nobody is there", Why::NoTarget, {}, [](Node& n) { n.request(1, 42); }},
+      {"one attempt allowed", Why::Attempts,
+       [](Settings& with) { with.max_attempts = 1, with.origin_kind = kOriginKind; },
+       [](Node& n) { n.caches(3, true), n.request(1, 42), n.wait(20), n.outcome(1, Result::Error); }},
+      {"its class allows no repeat", Why::Class, [](Settings& s) { s.classes[0].repeat = Repeat::Unsafe; },
+       [&](Node& n) { asked(n), n.outcome(1, Result::Reset); }},
+      {"it is at fault itself",
+       Why::Rejected,
+       {},
+       [&](Node& n) { asked(n), n.outcome(1, Result::Rejected); }},
+      {"no place for an attempt", Why::NoTarget, {}, [&](Node& n) { asked(n), n.outcome(1, Result::Moot); }},
+      {"its body is gone",
+       Why::Class,
+       {},
+       [&](Node& n) {
+         asked(n), n.on(Outcome{.id = 1, .server = n.last_server(1), .result = Result::Reset, .spent = true});
+       }},
+      {"no further attempt saved up",
+       Why::Allowance,
+       {},
+       [&](Node& n) {
+         n.caches(3);
+         for (RequestId id = 100; id < 400; ++id) { // nearly all fail: nothing is earned
+           n.request(id, id);
+           for (int i = 0; i < 5 && !n.final_answer(id); ++i) n.outcome(id, Result::Error);
+         }
+         n.request(1, 42);
+         for (int i = 0; i < 5 && !n.final_answer(1); ++i) n.outcome(1, Result::Error);
+       }},
+      {"too late for a turn at the origin", Why::QueuedLate, crowded_settings,
+       [](Node& n) {
+         crowd(n);
+         n.request(1, 42);
+         for (int i = 0; i < 3 && !n.final_answer(1); ++i) n.outcome(1, Result::Miss, 5);
+       }},
+  };
+  for (const Way& way : ways) {
+    SCOPED_TRACE(way.what);
+    Settings s = plain_settings();
+    if (way.with) way.with(s);
+    Node node(s);
+    way.play(node);
+    ASSERT_TRUE(node.final_answer(1));
+    for (const Refuse& r : node.refused) {
+      if (r.id != 1) continue;
+      EXPECT_EQ(static_cast<int>(r.why), static_cast<int>(way.why));
+    }
+  }
+}
+
+// Found by reading: it waited about one of the origin's response times before it was asked again. Where that was more than
+// the time left, the request was held to its end though nothing could come of it any more.
+TEST(GivingUp, NobodyWaitsForATurnThatComesTooLate) {
+  Settings s = aside_settings();
+  s.max_retry_after_ms = 1000;
+  Node node(s);
+  node.caches(3, true);
+  for (int i = 0; i < 20; ++i) {
+    node.request(kFirst + i, i + 1, {.write = true});
+    node.wait(400);
+    node.outcome(kFirst + i, Result::Ok, 400);
+  }
+  int given_up = 0, asked_again = 0;
+  for (int i = 0; i < 40; ++i) {
+    const RequestId id = 5000 + i;
+    node.request(id, id, {.write = true});
+    ASSERT_EQ(node.sends_of(id).size(), 1u);
+    node.wait(200);
+    node.outcome(id, Result::Full, 200); // 300 ms of its aim are left, and a turn takes 200 to 600
+    if (node.final_answer(id)) {
+      ++given_up;
+      continue;
+    }
+    node.wait(295);
+    asked_again += node.sends_of(id).size() == 2;
+    EXPECT_EQ(node.sends_of(id).size(), 2u) << "held to its end for nothing";
+    if (node.sends_of(id).size() == 2) node.outcome(id, Result::Ok, 5);
+    node.wait(100);
+  }
+  EXPECT_GT(given_up, 0);
+}
+
+// Why it waits at all: asked again at once, all attempts would be gone before an origin that is full for a moment is not.
+TEST(Origin, AWriteOutlastsAMomentInWhichTheOriginIsFull) {
+  Node node(aside_settings());
+  node.caches(3, true);
+  for (int i = 0; i < 20; ++i) {
+    node.request(kFirst + i, i + 1, {.write = true});
+    node.wait(100);
+    node.outcome(kFirst + i, Result::Ok, 100);
+  }
+  int served = 0;
+  for (int i = 0; i < 20; ++i) {
+    const RequestId id = 5000 + i;
+    const double full_until = node.now + 120;
+    node.request(id, id, {.write = true});
+    std::size_t ended = 0;
+    while (!node.final_answer(id) && node.now < full_until + 400) {
+      node.wait(5);
+      if (node.sends_of(id).size() == ended) continue;
+      ++ended;
+      node.outcome(id, node.now < full_until ? Result::Full : Result::Ok, 5);
+      if (node.now >= full_until) {
+        ++served;
+        break;
+      }
+    }
+    node.wait(500);
+  }
+  EXPECT_GE(served, 18);
+}
+
+// Found by reading: a request whose fetch was refused a place, while its second copy was out, passed for the one that
+// fetches; others waited for it.
+TEST(GivingUp, NobodyWaitsForAFetchThatIsNotUnderWay) {
+  Settings s = aside_settings();
+  crowded_settings(s);
+  s.max_attempts = 3;
+  Node node(s);
+  crowd(node);
+  node.request(1, 42);
+  ASSERT_EQ(node.sends_of(1).size(), 1u);
+  node.wait(300); // late: a copy goes to another cache, and misses; the first attempt stays out
+  ASSERT_EQ(node.sends_of(1).size(), 2u);
+  node.outcome(1, Result::Miss, 5, {}, 1);
+  node.request(2, 42);
+  for (int i = 0; i < 3 && !node.final_answer(2); ++i) node.outcome(2, Result::Miss, 5);
+  EXPECT_TRUE(node.final_answer(2)); // refused at once, as the first one's fetch was
+}
+
 // ---- bad input ----
 
 TEST(BadInput, UnknownThingsArePassedOver) {
