Connections know where they lead; a target that takes nothing of a body is given up

Seen by reading, then by tests that failed: a connection in use, or coming up, when the list gave its target another address or a new start went back to the pool and served new requests at the old address, to a process that has gone or to a stranger (tests: request 2 arrived there; update() closed free connections alone).

A long body to a target that accepts and never reads waited for the client's own limit, over a minute for 3 MB: the silence of 5 s held for answers alone. The same holds for bodies now, code takes-nothing; its last byte never left, so it never ran.

A want of this machine's at connect() (no port, no memory) was told as the target's fault and counted against it: moot now, code not-from-here.

--- a/src/egress/pool.cpp
+++ b/src/egress/pool.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 
 #include "egress/codec.h"
 #include "log/log.h"
@@ -45,6 +46,11 @@
   return it != targets_.end() && it->second.entry.state == ServerState::Ready;
 }
 
+// Does it lead to where the target is now?
+bool Pool::leads_there(const Connection& c) const {
+  return in_service(c.target) && targets_.at(c.target).address == c.address;
+}
+
 void Pool::update(const std::map<fernward::ServerId, routes::Target>& targets) {
   const auto before = std::exchange(targets_, targets);
   for (const auto& [id, was] : before) {
@@ -69,8 +75,9 @@
     budget::Account::Place place = room();
     const int fd = place ? open_socket() : -1;
     if (fd < 0) return Start::Full; // this process's own want: no fault of the target's
-    c = open(targets_.at(target), std::move(place), fd);
-    if (c == nullptr) return Start::NoTarget;
+    Start why = Start::NoTarget;
+    c = open(targets_.at(target), std::move(place), fd, why);
+    if (c == nullptr) return why;
   }
   assign(*c, attempt, call, deadline);
   return Start::Begun;
@@ -166,7 +173,7 @@
 }
 
 // `fd` is the connection's from here on.
-Pool::Connection* Pool::open(const routes::Target& target, budget::Account::Place place, int fd) {
+Pool::Connection* Pool::open(const routes::Target& target, budget::Account::Place place, int fd, Start& why) {
   const Handle handle = connections_.add(options_.answers.ceiling);
   Connection& c = *connections_.find(handle);
   c.pool = this;
@@ -175,6 +182,8 @@
   c.entry = c.seat.insert(c.seat.end(), handle);
   c.target = target.entry.id;
   c.name = target.name;
+  c.address = target.address;
+  c.booted_at = target.entry.booted_at;
   c.opened_at = now_ms();
   c.io = loop::make_bufferevent(base_, fd);
   loop::set_nodelay(fd);
@@ -182,7 +191,10 @@
   bufferevent_setcb(c.io.get(), &Pool::readable, &Pool::written, &Pool::changed, &c);
   if (bufferevent_socket_connect(c.io.get(), reinterpret_cast<const sockaddr*>(&target.where),
                                  sizeof target.where) != 0) {
-    close(c, "connect-failed");
+    // No port or no memory for it on this machine: as little the target's fault as a want of descriptors.
+    const bool ours = errno == EADDRNOTAVAIL || errno == ENOBUFS || errno == ENOMEM || errno == EAGAIN;
+    if (ours) why = Start::Full;
+    close(c, ours ? "not-from-here" : "connect-failed");
     return nullptr;
   }
   ++opened_;
@@ -216,7 +228,9 @@
   c.counted = false;
   if (c.call->inflow == nullptr) return count_sent(c);
   c.sent = false;
-  c.written_at = now_ms();
+  c.written_at = c.taken_at = now_ms();
+  c.taken = 0;
+  limit_taking(c);
   bufferevent_setwatermark(c.io.get(), EV_WRITE, kMostAhead / 2, 0);
   c.upload = c.call->inflow->read([this, handle = c.self] {
     if (Connection* more = connections_.find(handle)) send_body(*more);
@@ -313,8 +327,8 @@
   c.up = true;
   deadlines_.cancel(c.ticket);
   bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
-  // Its target may have been withdrawn meanwhile: nothing new goes there.
-  if (!in_service(c.target)) return lose(c, Result::ConnectFailed, "not-in-service");
+  // Its target may have been withdrawn meanwhile, or have moved: nothing new goes there.
+  if (!leads_there(c)) return lose(c, Result::ConnectFailed, "not-in-service");
   if (c.attempt != 0) return write(c);
   unpool(c);
   make_busy(c);
@@ -411,6 +425,7 @@
   const auto length = c.parser.body().length();
   if (c.way == Connection::Way::Wait && (!length || *length > options_.answers.begin_after)) {
     // Whoever gives nothing more for a while is found here, not by what comes next.
+    deadlines_.cancel(c.ticket);
     c.ticket = deadlines_.at(c.wait_until, [this, handle = c.self] {
       Connection* late = connections_.find(handle);
       if (late == nullptr) return;
@@ -525,6 +540,23 @@
   });
 }
 
+// A body on its way has no deadline but its client's pace: its target must go on taking what has come. One that has not
+// had the last byte has not run it.
+void Pool::limit_taking(Connection& c) {
+  deadlines_.cancel(c.ticket);
+  c.ticket = deadlines_.at(now_ms() + options_.silent_ms / 4, [this, handle = c.self] {
+    Connection* late = connections_.find(handle);
+    if (late == nullptr) return;
+    late->ticket = 0;
+    if (late->upload == nullptr || !unsent(*late) || late->parser.head_done()) return;
+    const std::size_t waits = loop::pending_output(late->io.get());
+    const std::uint64_t taken = late->upload->at() - std::min<std::uint64_t>(late->upload->at(), waits);
+    if (waits == 0 || std::exchange(late->taken, taken) < taken) late->taken_at = now_ms();
+    if (now_ms() - late->taken_at < options_.silent_ms) return limit_taking(*late);
+    lose(*late, Result::ConnectFailed, "takes-nothing");
+  });
+}
+
 // The target is up and has answered, as by a 500: what it did is not known, its connection is of no use.
 void Pool::spoilt(Connection& c) {
   if (!c.parser.head_done()) learn(c, false);
@@ -545,6 +577,8 @@
   c.call.reset();
   if (end != nullptr) return close(c, end);
   if (!in_service(c.target)) return close(c, "not-in-service");
+  // The process that answered may have gone, or live on under another name.
+  if (!leads_there(c) || targets_.at(c.target).entry.booted_at != c.booted_at) return close(c, "restarted");
   read_directly(c, false);
   rest(c);
 }
--- a/src/egress/pool.h
+++ b/src/egress/pool.h
@@ -27,8 +27,9 @@
       10000; // an idle connection is closed after this, or sooner where its target is seen to do so
   std::vector<std::string> report_fields;
   bodies::AnswerRules answers;
-  double silent_ms = 5000; // a node that gives nothing more of an answer it has begun is given up
-  int receive_bytes = 0;   // that the kernel keeps of each connection; 0: as much as it likes
+  double silent_ms =
+      5000; // a node that gives nothing more of an answer, or takes nothing more of a body, is given up
+  int receive_bytes = 0; // that the kernel keeps of each connection; 0: as much as it likes
 };
 
 class Pool : public exchange::EgressSide {
@@ -63,16 +64,19 @@
     std::list<loop::Handle> seat; // its entry of `resting_`, while it is not free
     std::list<loop::Handle>::iterator entry;
     fernward::ServerId target = 0;
-    std::string name; // of the target, for the log line
+    std::string name, address; // of the target as it was when this was opened; the name is for the log line
+    double booted_at = 0;      // and its start
     loop::BuffereventPtr io;
     http::Parser parser;
     bool up = false;
     loop::Handle attempt = 0; // 0: none, the connection is idle or nobody waits for its coming up
     exchange::CallPtr call;
     std::unique_ptr<exchange::Inflow::Reader> upload; // of the call's body, where that is long
-    bool sent = true;      // all of the call has been written, or waits in the output
-    bool counted = true;   // its last byte has left
-    double written_at = 0; // its head
+    bool sent = true;        // all of the call has been written, or waits in the output
+    bool counted = true;     // its last byte has left
+    double written_at = 0;   // its head
+    std::uint64_t taken = 0; // of a long body, bytes that had left this process when that was looked at
+    double taken_at = 0;     // when it was last seen to take some
     double deadline = 0, opened_at = 0, rested_at = 0;
     double rested_ms = -1; // before its present request; below 0: that is its first
     bool trial = false;    // it had rested longer than is believed safe
@@ -106,6 +110,7 @@
   bool step(Connection& c);
   void begin(Connection& c);
   void limit_silence(Connection& c);
+  void limit_taking(Connection& c);
   void spoilt(Connection& c);
   void tell(Connection& c, exchange::Ending ending);
   std::size_t room(Connection& c);
@@ -116,7 +121,8 @@
   void rest(Connection& c);                      // into the pool
   void unpool(const Connection& c);
   Connection* reusable(fernward::ServerId target);
-  Connection* open(const routes::Target& target, budget::Account::Place place, int fd);
+  // Null: `why` it can't be.
+  Connection* open(const routes::Target& target, budget::Account::Place place, int fd, Start& why);
   budget::Account::Place room();
   int open_socket();
   void learn(const Connection& c, bool reset);
@@ -124,6 +130,7 @@
   void make_free(Connection& c);
   void make_busy(Connection& c);
   void assign(Connection& c, loop::Handle attempt, const exchange::CallPtr& call, double deadline);
+  bool leads_there(const Connection& c) const;
   bool in_service(fernward::ServerId target) const;
   void lose(Connection& c, fernward::Result result, const char* code); // ends its attempt too
   void close(Connection& c, const char* code);
--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -71,7 +71,22 @@
   }
   Peer(const Peer&) = delete;
 
-  void say(const std::string& text) { send(last_, text); } // on the connection of the last request
+  void say(const std::string& text) { // on the connection of the last request
+    if (last_ != nullptr && last_->io != nullptr) send(last_, text);
+  }
+  enum class End { Fin, Reset, Half }; // half: nothing more is sent, what comes is still read
+  void break_off(End how) {            // all connections
+    for (const auto& link : links_) {
+      if (link->io == nullptr) continue;
+      const int fd = bufferevent_getfd(link->io.get());
+      if (how == End::Half) {
+        shutdown(fd, SHUT_WR);
+        continue;
+      }
+      if (how == End::Reset) loop::reset_on_close(fd);
+      link->io.reset();
+    }
+  }
   void hang_up() { // at once: libevent would close the sockets from the loop only
     for (const auto& link : links_) {
       if (link->io != nullptr) shutdown(bufferevent_getfd(link->io.get()), SHUT_RDWR);
@@ -103,7 +118,9 @@
   std::string address;
   std::vector<http::Message> seen;
   int connections = 0;
-  double last_at = 0; // when it was asked last
+  double last_at = 0;  // when it was asked last
+  double begun_at = 0; // and when the first byte of that request came
+  bool whole = true;   // for scripts: what they said last was a whole answer
 
  private:
   struct Link {
@@ -111,6 +128,7 @@
     loop::BuffereventPtr io;
     bool ends = false;     // once all is written
     bool answered = false; // early
+    double begun_at = 0;
     http::Parser parser{http::Kind::Request, kMostBody};
   };
   static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
@@ -137,6 +155,7 @@
         return;
       }
       const auto input = loop::pending_input(link.io.get());
+      if (!link.parser.begun() && !input.empty()) link.begun_at = loop::now_ms();
       loop::consume_input(link.io.get(), link.parser.feed(input));
       body_come = link.parser.message().body.size();
       if (link.parser.wants_body() && early && !std::exchange(link.answered, true)) {
@@ -148,6 +167,7 @@
       seen.push_back(link.parser.take());
       last_ = &link;
       last_at = loop::now_ms();
+      begun_at = link.begun_at;
       send(&link, script(http::Message(seen.back())));
     }
   }
@@ -193,6 +213,15 @@
   }
   void send(const std::string& text) { bufferevent_write(io_.get(), text.data(), text.size()); }
   void leave() { io_.reset(); }
+  void break_off(Peer::End how) {
+    const int fd = bufferevent_getfd(io_.get());
+    if (how == Peer::End::Half) {
+      shutdown(fd, SHUT_WR);
+      return;
+    }
+    if (how == Peer::End::Reset) loop::reset_on_close(fd);
+    io_.reset();
+  }
   void stop_reading() {
     bufferevent_setwatermark(io_.get(), EV_READ, 0, 1024); // else libevent's buffer would take a good part
     bufferevent_disable(io_.get(), EV_READ);
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -3,9 +3,21 @@
 #include <doctest/doctest.h>
 
 #include <sys/resource.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
 #include "peers.h"
 
+// In place of the C library's, for libevent's calls too: a want of this machine's that no limit of a process brings about.
+static int connect_fails = 0;
+extern "C" int connect(int fd, const sockaddr* to, socklen_t size) {
+  if (connect_fails != 0) {
+    errno = connect_fails;
+    return -1;
+  }
+  return static_cast<int>(syscall(SYS_connect, fd, to, size));
+}
+
 using namespace fernward;
 using namespace fernward::tests;
 using fernward::Result;
@@ -403,14 +415,14 @@
 namespace {
 
 struct PoolWorld : exchange::AttemptSide {
-  explicit PoolWorld(std::size_t most = 10) {
+  explicit PoolWorld(std::size_t most = 10, const egress::PoolOptions& options = {}) {
     account = std::make_unique<budget::Account>(most);
-    pool = std::make_unique<egress::Pool>(base.get(), deadlines, *account, bytes, figures,
-                                          egress::PoolOptions(), *this, [] { return false; });
+    pool = std::make_unique<egress::Pool>(base.get(), deadlines, *account, bytes, figures, options, *this,
+                                          [] { return false; });
     list("in_service");
   }
-  void list(const std::string& state, double since_ms = 0) {
-    Json entry = endpoint("s-1", peer.address, state);
+  void list(const std::string& state, double since_ms = 0, const std::string& address = "") {
+    Json entry = endpoint("s-1", address.empty() ? peer.address : address, state);
     entry["since_ms"] = since_ms;
     table.apply(node_list(1, true, {entry}));
     pool->update(table.targets());
@@ -573,6 +585,151 @@
   CHECK(w.last.rested_ms < 5000);
 }
 
+// guards: requests to a process that has gone, or to a stranger at its old address
+TEST_CASE("a target that goes on at another address gets nothing new at the old one") {
+  PoolWorld w;
+  Peer moved(w.base.get(), [](const http::Message&) { return ok("v"); });
+  SUBCASE("while a request is at work there") {
+    w.peer.script = [](const http::Message&) { return std::string(); };
+    REQUIRE(w.start(1) == Start::Begun);
+    REQUIRE(run_until(w.base.get(), [&] { return w.peer.seen.size() == 1; }));
+    w.list("in_service", 0, moved.address);
+    w.peer.say(ok("v"));
+    REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 1; }));
+    CHECK(w.endings[0] == Result::Ok);
+  }
+  SUBCASE("while a connection there is coming up") {
+    REQUIRE(w.start(1) == Start::Begun);
+    w.list("in_service", 0, moved.address);
+    REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 1; }));
+    CHECK(w.endings[0] == Result::ConnectFailed);
+  }
+  const std::size_t before = w.peer.seen.size();
+  REQUIRE(w.start(2) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 2; }));
+  CHECK(w.endings[1] == Result::Ok);
+  CHECK(w.peer.seen.size() == before);
+  CHECK(moved.seen.size() == 1);
+}
+
+TEST_CASE("a target that was started anew gets nothing more on a connection to the process before") {
+  PoolWorld w;
+  w.peer.script = [](const http::Message&) { return std::string(); };
+  REQUIRE(w.start(1) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return w.peer.seen.size() == 1; }));
+  w.list("in_service", 5);
+  w.peer.script = [](const http::Message&) { return ok("v"); };
+  w.peer.say(ok("v"));
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 1; }));
+  REQUIRE(w.start(2) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 2; }));
+  CHECK(w.peer.connections == 2);
+}
+
+// guards: sound targets ejected for what this machine lacks
+TEST_CASE("without a local port an attempt is moot; a target without a way to it could not be reached") {
+  PoolWorld w;
+  connect_fails = EADDRNOTAVAIL;
+  const Start no_port = w.start(1);
+  connect_fails = ENETUNREACH;
+  const Start no_way = w.start(2);
+  connect_fails = 0;
+  CHECK(no_port == Start::Full);
+  CHECK(no_way == Start::NoTarget);
+  CHECK(w.pool->connections() == 0);
+  CHECK(w.account->used(budget::Side::Targets) == 0);
+}
+
+// guards: a booking that waits a minute for a node that is not there any more
+TEST_CASE("a target that takes nothing more of a body is given up, and never ran it") {
+  egress::PoolOptions options;
+  options.silent_ms = 100;
+  PoolWorld w(10, options);
+  w.peer.stopped = true;
+  bodies::Account bytes{{}};
+  bodies::KeepRules rules;
+  rules.ceiling = 16 << 20;
+  rules.memory_most = rules.memory_all = 16 << 20;
+  exchange::BodyStores stores(rules, bytes, "");
+  loop::Block block;
+  auto call = std::make_shared<exchange::Call>();
+  call->write = true;
+  call->target = "/k";
+  call->id = "r";
+  call->inflow = std::make_shared<exchange::Inflow>(stores, std::uint64_t{8 << 20});
+  const std::string part(60000, 'b');
+  while (call->inflow->come() < (8u << 20)) {
+    const std::size_t most = std::min<std::size_t>(part.size(), (8u << 20) - call->inflow->come());
+    REQUIRE(call->inflow->put(std::string_view(part).substr(0, most), block));
+  }
+  call->inflow->end();
+  const double begun = loop::now_ms();
+  REQUIRE(w.pool->start(1, routes::id_of("s-1"), call, loop::now_ms() + 60000) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return w.endings.size() == 1; }));
+  CHECK(w.endings[0] == Result::ConnectFailed); // its last byte never left
+  CHECK(loop::now_ms() - begun >= 100);
+  CHECK(w.pool->connections() == 0);
+  CHECK(w.peer.seen.empty());
+}
+
+// What a node says before it closes; whether the request may have run by then is the class's to judge.
+TEST_CASE("a node that closes at the worst moment: served elsewhere, or failed as its class says, once") {
+  const std::string whole = ok("v");
+  const std::vector<std::pair<const char*, std::string>> moments = {
+      {"at once", "!"},
+      {"after 100", "!HTTP/1.1 100 Continue\r\n\r\n"},
+      {"in the status line", "!HTTP/1.1 2"},
+      {"between head and body", "!HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"},
+      {"before the last byte", "!HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nva"},
+      {"before the last chunk", "!HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\n"},
+      {"with the answer whole", "!" + whole},
+      {"with bytes behind it", "!" + whole + "more"},
+      {"saying so", "!HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nv"}};
+  for (const auto& [when, wire] : moments) {
+    for (const char* cls : {"read", "book", "once"}) {
+      for (const bool rested : {false, true}) { // the first on its connection, or one that is used again
+        CAPTURE(when);
+        CAPTURE(cls);
+        CAPTURE(rested);
+        World w([](Json& file) {
+          file["settings"]["classes"].push_back(
+              {{"name", "once"}, {"aim", 900}, {"give_up", 2000}, {"repeat", "unsafe"}, {"worth", 1}});
+        });
+        const bool read = std::string(cls) == "read";
+        const auto text = [&](const std::string& id) {
+          if (read) return get("/k/1", id);
+          return "PUT /k/1 HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + cls +
+                 "\r\nIdempotency-Key: k-" + id + "\r\nX-Timeout-Ms: 2000\r\nContent-Length: 1\r\n\r\nb";
+        };
+        Client client = w.client();
+        if (rested) REQUIRE(client.ask(text("r0")).status == 200);
+        const std::size_t before = w.sent();
+        bool spoilt = false;
+        const Peer::Script once = [&, wire = wire](const http::Message&) {
+          return std::exchange(spoilt, true) ? ok("other") : wire;
+        };
+        w.caches(once);
+        w.origin.script = once;
+        const auto answer = client.ask(text("r1"));
+        const bool came_whole =
+            wire.find(whole) != std::string::npos || wire.find("close") != std::string::npos;
+        const std::string body = came_whole ? "v" : "other";
+        if (came_whole || std::string(cls) != "once") {
+          CHECK(answer.status == 200);
+          CHECK(answer.body == body);
+          CHECK(w.sent() == before + (came_whole ? 1 : 2));
+        } else {
+          CHECK(answer.status == 502); // it may have run: not sent again, and no word that it has not
+          CHECK(w.sent() == before + 1);
+        }
+        CHECK(client.ask(text("r2")).status == 200);
+        CHECK(client.answers.size() == (rested ? 3u : 2u));
+        CHECK(w.router->driver().open_attempts() == 0);
+      }
+    }
+  }
+}
+
 TEST_CASE("a full pool is told, not waited for") {
   PoolWorld w(1);
   w.peer.script = [](const http::Message&) { return std::string(); };
