A new process with fewer descriptors survives what the old one passes on

Seen: each connection passed on brought a place, beyond the new process's own limit; its table of slots was full, and the handle 0 was followed (test: the new process died by a signal with 512 descriptors before it and 64 of its own). Its own limit holds now: what has no place is closed as any connection at rest. The door no longer spins where no descriptor is left.

--- a/src/handover/link.cpp
+++ b/src/handover/link.cpp
@@ -19,6 +19,7 @@
 namespace fernward::handover {
 namespace {
 
+constexpr timeval kAcceptPause{0, 50000};
 constexpr std::size_t kPiece = 64 << 10;
 constexpr std::size_t kMostBeside = 8; // descriptors taken with one read; each frame brings one at most
 
@@ -206,7 +207,8 @@
   }
   inode_ = made.st_ino;
   listening_.reset(event_new(base, socket_.get(), EV_READ | EV_PERSIST, &Door::accepted, this));
-  if (listening_ == nullptr) throw std::bad_alloc();
+  again_.reset(event_new(base, -1, 0, &Door::listen_again, this));
+  if (listening_ == nullptr || again_ == nullptr) throw std::bad_alloc();
   event_add(listening_.get(), nullptr);
 }
 
@@ -217,11 +219,19 @@
 
 void Door::accepted(int listening, short, void* self) {
   Descriptor came(accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-  if (!came) return;
+  if (!came) { // it would be found again at once, as long as no descriptor is left
+    event_del(static_cast<Door*>(self)->listening_.get());
+    event_add(static_cast<Door*>(self)->again_.get(), &kAcceptPause);
+    return;
+  }
   if (!ours(came.get())) return log::line("handover-refused", {{"why", "another user's process"}});
   static_cast<Door*>(self)->came_(std::move(came));
 }
 
+void Door::listen_again(int, short, void* self) {
+  event_add(static_cast<Door*>(self)->listening_.get(), nullptr);
+}
+
 // ---- the new process ----
 
 std::optional<Inherited> ask(const std::string& path, const Hello& hello, double patience_ms,
--- a/src/handover/link.h
+++ b/src/handover/link.h
@@ -97,11 +97,12 @@
 
  private:
   static void accepted(int fd, short, void* self);
+  static void listen_again(int, short, void* self);
   std::string path_;
   Came came_;
   Descriptor socket_;
   std::uint64_t inode_ = 0;
-  loop::EventPtr listening_;
+  loop::EventPtr listening_, again_;
 };
 
 // What a new process got from the one that it replaces.
--- a/src/router/succession.cpp
+++ b/src/router/succession.cpp
@@ -202,8 +202,11 @@
 
 void Succession::from_before(handover::Message message, Descriptor beside) {
   if (const auto* client = std::get_if<handover::Client>(&message)) {
-    ++had_places_;
-    take(1, 0);
+    // Of a process with a larger limit more may come than this one has places for: its own limit holds.
+    if (had_places_ < options_.places) {
+      ++had_places_;
+      take(1, 0);
+    }
     parts_.listener.adopt(beside.release(), client->requests);
   } else if (const auto* places = std::get_if<handover::Places>(&message)) {
     const std::uint64_t more =
--- a/tests/handover/replace_test.cpp
+++ b/tests/handover/replace_test.cpp
@@ -320,3 +320,25 @@
   Client client(line.base.get(), line.port);
   CHECK(client.ask(get("/k/1", "r1")).status == 200);
 }
+
+// guards: an upgrade that lowers the limit and takes the new process with it
+TEST_CASE("a new process with far fewer descriptors takes what it has places for, and lives") {
+  Line line;
+  line.config["limits"]["sockets"] = 512;
+  line.start();
+  Program& old = *line.programs.back();
+  std::vector<std::unique_ptr<Client>> rest;
+  for (int i = 0; i < 120; ++i) {
+    rest.push_back(std::make_unique<Client>(line.base.get(), line.port));
+    REQUIRE(rest.back()->ask(get("/k/r", "rest" + std::to_string(i))).status == 200);
+  }
+  line.config["limits"]["sockets"] = 64;
+  Program& next = line.start();
+  old.signal(SIGTERM);
+  REQUIRE(line.until([&] { return old.ended(); }));
+  REQUIRE(line.until([&] { return next.says("handover-done") || next.ended(); }));
+  CHECK_FALSE(next.ended());
+  CHECK(next.descriptors() <= 64);
+  Client client(line.base.get(), line.port);
+  CHECK(client.ask(get("/k/1", "r1")).status == 200);
+}
