A call that can't be accepted no longer holds up all traffic

Seen: with no descriptor left and no caller to push out, accept() failed, and the event came again at once. It has the first of two priorities, so the loop got to nothing else, deadlines included, as long as the shortage lasted (test: a deadline of 120 ms did not fire in 3 s). Accepting pauses for 50 ms now, as at the clients' door; control-accept-failed is said once.

--- a/src/control/port.cpp
+++ b/src/control/port.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
+#include <utility>
 
 #include "config/address.h"
 #include "log/log.h"
@@ -20,6 +21,7 @@
 
 constexpr int kBacklog = 128;
 constexpr int kAtOnce = 16; // accepted before others have their turn
+constexpr double kAcceptPauseMs = 50;
 
 // Before traffic, where the loop has been given priorities.
 void go_first(event_base* base, event* e) {
@@ -55,6 +57,7 @@
 
 Port::~Port() {
   callers_.each([this](Handle, Caller& c) { close(c); });
+  deadlines_.cancel(resume_);
   listening_.reset();
   ::close(fd_);
 }
@@ -74,11 +77,25 @@
       port->make_room(); // none of the descriptors that were set aside is left: the oldest caller's is used
       fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     }
-    if (fd < 0) return;
+    if (fd < 0) {
+      if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED) port->pause();
+      return;
+    }
     port->accept(fd);
   }
 }
 
+// What can't be accepted stays at the door and would be found again at once: before all traffic, as long as it lasts.
+void Port::pause() {
+  if (!std::exchange(short_, true)) log::line("control-accept-failed", {{"why", std::strerror(errno)}});
+  event_del(listening_.get());
+  deadlines_.cancel(resume_);
+  resume_ = deadlines_.at(loop::now_ms() + kAcceptPauseMs, [this] {
+    resume_ = 0;
+    event_add(listening_.get(), nullptr);
+  });
+}
+
 // Those that only linger have their answer; after them the one that came first.
 void Port::make_room() {
   Caller* goes = nullptr;
@@ -93,6 +110,7 @@
 }
 
 void Port::accept(int fd) {
+  short_ = false;
   if (callers_.full()) make_room();
   const Handle handle = callers_.add();
   Caller& c = *callers_.find(handle);
--- a/src/control/port.h
+++ b/src/control/port.h
@@ -53,6 +53,7 @@
   static void written(bufferevent*, void* c);
   static void changed(bufferevent*, short what, void* c);
   void accept(int fd);
+  void pause();
   void read(Caller& c);
   void reply(Caller& c, const std::string& text);
   void limit(Caller& c, double ms);
@@ -67,6 +68,8 @@
   std::uint64_t came_ = 0;
   int fd_ = -1;
   loop::EventPtr listening_;
+  loop::Deadlines::Ticket resume_ = 0;
+  bool short_ = false; // the last accept failed
 };
 
 } // namespace fernward::control
--- a/tests/control/port_test.cpp
+++ b/tests/control/port_test.cpp
@@ -1,5 +1,6 @@
 // The second address over loopback: each call, each kind of bad caller, and a node taken out and put back.
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include <string>
 
@@ -146,3 +147,28 @@
   CHECK_THROWS_WITH(router::Router(config::parse(file.dump(), &no_environment), w.base.get()),
                     doctest::Contains("control: cannot listen"));
 }
+
+// guards: a router that answers nobody, as a call that can't be accepted goes before all traffic, again and again
+TEST_CASE(
+    "a caller that can't be accepted for want of descriptors holds up nothing, and gets its answer once it "
+    "can") {
+  const router::BasePtr base = router::make_base(true);
+  loop::Deadlines deadlines(base.get());
+  control::PortOptions options;
+  options.address = "127.0.0.1:0";
+  control::Port port(base.get(), deadlines, options,
+                     [](const control::Call&) { return std::string("ok\n"); });
+  Caller caller(base.get(), port.port(), "ready\n"); // waits before the door: the loop has not run
+  rlimit usual{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+  const rlimit none{0, usual.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+  bool passed = false;
+  deadlines.at(loop::now_ms() + 120, [&] { passed = true; }); // traffic
+  const double begun = loop::now_ms();
+  while (!passed && loop::now_ms() < begun + 3000) event_base_loop(base.get(), EVLOOP_ONCE);
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+  CHECK(passed);
+  CHECK(run_until(base.get(), [&] { return caller.ended; }));
+  CHECK(caller.told == "ok\n");
+}
