Nothing from outside ends or stops the process: deep JSON, pipes, file limits, a log nobody reads

Each seen by a test that failed before: - a list, a known list or a file nested a million deep ended the process (SIGSEGV: copies and prints of a value recurse): read with a bound of 64 now (config/json.h), told like other noise; - a node file that was a pipe was waited for without end, and one that could not be read once, for want of a descriptor, was not read again until it changed (file.cpp look(), read()); - a limit on the size of files ended the process by SIGXFSZ at a body's file; the write fails now, and that was dealt with; - a log whose reader stops held up the one thread once the pipe was full: a line that has no room is dropped and counted; - limits.open_cap took 0.5 as a table of none, and 1e300, for which a cast has no meaning.

After SIGTERM the end was planned by the longest give-up of the classes, 30 s in the test, where the platform kills after 3.7 s: 3 s count at most now, and what has no answer 100 ms before the end gets the last guard's. A test starts nine other deployments. The reserved descriptors stood twice, for the router and for config check: once now.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -73,7 +73,8 @@
 
 int run(config::Config config, Running running) {
   signal(SIGPIPE, SIG_IGN);
-  signal(SIGHUP, SIG_IGN); // until the router is there to reload
+  signal(SIGXFSZ, SIG_IGN); // a body's file at the process's limit: the write fails, and that is dealt with
+  signal(SIGHUP, SIG_IGN);  // until the router is there to reload
   raise_descriptor_limit(config);
   const router::BasePtr base = router::make_base(!config.control.empty());
   auto from = router::inherit(config);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "config/address.h"
+#include "config/json.h"
 #include "config/read.h"
 
 namespace fernward::config {
@@ -89,11 +90,8 @@
 
 Config parse_file(const std::string& text, Lookup environment, bool again) {
   Part file;
-  try {
-    file.json = nlohmann::json::parse(text);
-  } catch (const nlohmann::json::exception&) {
-    throw Error("NODE_CONFIG: the file is not JSON");
-  }
+  file.json = parse_json(text);
+  if (file.json.is_discarded()) throw Error("NODE_CONFIG: the file is not JSON, or nested too deeply");
   if (!file.json.is_object()) throw Error("NODE_CONFIG: the file holds no JSON object");
 
   Config config;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,6 +40,8 @@
 
 using Lookup = const char* (*)(const char* name); // std::getenv, or a test's
 
+constexpr std::uint32_t kReserved = 24; // descriptors for all but the connections of clients and targets
+
 // Of a memory limit: what requests that have not come whole may hold, and what bodies and answers on their way may.
 inline std::size_t buffer_bytes(std::uint64_t memory_mb) { return (memory_mb << 20) / 8; }
 inline std::size_t body_bytes(std::uint64_t memory_mb) { return (memory_mb << 20) / 4; }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -149,6 +149,8 @@
   limits.connect_timeout_ms = positive(part, "connect_timeout", limits.connect_timeout_ms);
   limits.conn_idle_ms = positive(part, "conn_idle", limits.conn_idle_ms);
   limits.open_cap = positive(part, "open_cap", limits.open_cap);
+  if (!(limits.open_cap >= 1 && limits.open_cap <= 1e6))
+    throw Error(part.at("open_cap") + ": must be a number from 1 to 1000000");
   limits.grace_to_answer_ms =
       positive(from.part("obligations"), "grace_to_answer", limits.grace_to_answer_ms);
   return limits;
--- a/src/exchange/driver.cpp
+++ b/src/exchange/driver.cpp
@@ -61,7 +61,9 @@
   x->deadline += late;
   x->aim_at += late;
   deadlines_.cancel(x->guard);
-  x->guard = deadlines_.at(x->deadline + options_.grace_ms / 2, [this, exchange] { overdue(exchange); });
+  double guard_at = x->deadline + options_.grace_ms / 2;
+  if (ends_by_ > 0) guard_at = std::min(guard_at, ends_by_);
+  x->guard = deadlines_.at(guard_at, [this, exchange] { overdue(exchange); });
   for (const Handle attempt : x->attempts) {
     if (Attempt* a = attempts_.find(attempt)) wait_for(*a, attempt, a->deadline + late);
   }
@@ -142,6 +144,15 @@
   return !x.over && x.passing != 0 && x.attempts[number] == x.passing;
 }
 
+void Driver::ends_by(double by) {
+  ends_by_ = by;
+  exchanges_.each([&](Handle id, Exchange& x) {
+    if (x.over || x.passing != 0 || x.deadline + options_.grace_ms / 2 <= by) return;
+    deadlines_.cancel(x.guard);
+    x.guard = deadlines_.at(by, [this, id] { overdue(id); });
+  });
+}
+
 void Driver::list(fernward::ServerList list) { enqueue(std::move(list)); }
 
 void Driver::change(const fernward::Settings& settings) {
@@ -154,7 +165,7 @@
   if (x == nullptr || x->over) return;
   x->guard = 0;
   // Of a body that came sooner than it might have, the module does not know.
-  if (x->call->body_ms == 0)
+  if (x->call->body_ms == 0 && loop::now_ms() >= x->deadline)
     log::line("exchange-overdue", {{"id", x->call->id}, {"attempts", x->attempts.size()}});
   Answer answer; // failed
   finish(exchange, &answer);
--- a/src/exchange/driver.h
+++ b/src/exchange/driver.h
@@ -35,6 +35,8 @@
   void body_whole(Handle exchange); // the last byte of its call has come, after open()
   void client_gone(Handle exchange);
   void drained(Handle exchange); // its client has taken some of the answer that passes through
+  // The process ends soon: what has no final answer by then gets one, the last guard's.
+  void ends_by(double by);
   void list(fernward::ServerList list);
   void change(const fernward::Settings& settings); // as of Balancer::change; throws std::invalid_argument
 
@@ -108,6 +110,7 @@
   std::vector<fernward::Action> actions_;
   std::unordered_set<std::string> open_ids_; // of exchanges that are not over
   std::size_t unanswered_ = 0;
+  double ends_by_ = 0; // 0: no end is known
   Figures given_up_{};
   loop::EventPtr pump_;
 };
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -5,6 +5,9 @@
 #include <cmath>
 #include <cstdio>
 
+#include <poll.h>
+#include <unistd.h>
+
 namespace fernward::log {
 namespace {
 
@@ -70,8 +73,19 @@
   field.kind != Field::Kind::Text ? number(out, field) : quoted(out, field.text);
 }
 
+// A reader that has stopped must not stop the router: a full pipe would hold up its one thread. Where poll() says that
+// there is room, a pipe takes 4096 bytes, and no line is as long.
+bool taken() {
+  pollfd out{STDERR_FILENO, POLLOUT, 0};
+  return poll(&out, 1, 0) != 0;
+}
+
 void write(double reserve, std::string_view event, const Field* fields, std::size_t count) {
   if (!bucket.take(reserve)) return;
+  if (!taken()) {
+    ++bucket.dropped, ++bucket.untold;
+    return;
+  }
   std::string out;
   out.reserve(160);
   if (as_json) {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "config/json.h"
 #include "log/log.h"
 
 namespace fernward::router {
@@ -11,22 +12,22 @@
 
 namespace {
 
-constexpr double kAcceptOnMs = 500;  // clients go on coming for this long after SIGTERM
-constexpr double kFinishMs = 600;    // and what they brought gets this long beyond its deadline
+constexpr double kAcceptOnMs = 500;       // clients go on coming for this long after SIGTERM
+constexpr double kFinishMs = 600;         // and what they brought gets this long beyond its deadline
+constexpr double kLongestWaitedMs = 3000; // that the platform counts as the longest deadline before SIGKILL
 constexpr double kServeOnMs = 1500;  // kept connections are served on for half of the time, but no longer
 constexpr double kLastWordMs = 100;  // before the end, for what is given up then to reach its client
 constexpr double kFiguresMs = 10000; // what was given up is told this often
 constexpr std::size_t kShortBody = 64 * 1024;
 constexpr std::size_t kKernelsOwn = 64 * 1024; // a connection's receive buffer as the kernel makes it, about
 constexpr std::size_t kLeastReceived = 32 * 1024; // the kernel doubles it for its own
-constexpr std::size_t kReserved = 24;             // descriptors for all but client and egress connections
 constexpr std::size_t kControlReserved = 4; // and these with the second address: half of the others lie idle
 constexpr double kAskMs = 2500;             // for the process that this one replaces to answer
 constexpr double kPassedMs = 5;             // passed connections that have not left are looked at this often
 constexpr int kCallbacksAtOnce = 64;        // of traffic, before the operators' calls are looked for again
 
 std::size_t reserved(const config::Config& config) {
-  return kReserved + (config.control.empty() ? 0 : kControlReserved);
+  return config::kReserved + (config.control.empty() ? 0 : kControlReserved);
 }
 
 std::size_t places(const config::Config& config) {
@@ -87,10 +88,13 @@
   return options;
 }
 
-double longest_give_up(const fernward::Settings& settings) {
+// How long a request that was taken at the last moment may still take. The platform waits no longer than kLongestWaited for
+// it; a sidecar, whose router is `movable`, for the longest of its own classes.
+double longest_give_up(const config::Config& config) {
   double longest = 0;
-  for (const auto& cls : settings.classes) longest = std::max(longest, cls.give_up_ms);
-  return longest > 0 ? longest : 3000;
+  for (const auto& cls : config.settings.classes) longest = std::max(longest, cls.give_up_ms);
+  if (!config.movable) longest = std::min(longest, kLongestWaitedMs);
+  return longest > 0 ? longest : kLongestWaitedMs;
 }
 
 ingress::Rules ingress_rules(const config::Config& config) {
@@ -137,7 +141,7 @@
   add_gauges();
   if (from != nullptr) bans_.adopt(from->welcome.known);
   if (from != nullptr && !from->welcome.list.empty()) {
-    config_.known = nlohmann::json::parse(from->welcome.list, nullptr, false); // newer than the file's
+    config_.known = config::parse_json(from->welcome.list); // newer than the file's
   }
   take_known();
   if (!config_.handover.empty()) {
@@ -394,9 +398,9 @@
   if (winding_down_) return;
   winding_down_ = true;
   log::line("winds-down", {{"name", config_.name}});
-  const double now = loop::now_ms();
+  const double now = loop::now_ms(), last = longest_give_up(config_) + kFinishMs;
+  driver_.ends_by(now + last - kLastWordMs);
   if (succession_ == nullptr || !succession_->wind_down()) {
-    const double last = longest_give_up(config_.settings) + kFinishMs;
     listener_.ends_by(now + last - kLastWordMs);
     deadlines_.at(now + kAcceptOnMs, [this] { listener_.stop_accepting(); });
     deadlines_.at(now + std::max(kAcceptOnMs, std::min(last / 2, kServeOnMs)), [this] {
@@ -404,7 +408,7 @@
       listener_.stop();
     });
   }
-  deadlines_.at(now + longest_give_up(config_.settings) + kFinishMs, [this] { event_base_loopbreak(base_); });
+  deadlines_.at(now + last, [this] { event_base_loopbreak(base_); });
 }
 
 std::optional<handover::Inherited> inherit(const config::Config& config) {
--- a/src/routes/file.cpp
+++ b/src/routes/file.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/json.h"
 #include "log/log.h"
 #include "loop/deadlines.h"
 #include "routes/table.h"
@@ -34,6 +35,7 @@
   ticket_ = deadlines_.at(loop::now_ms() + kLookMs, [this] { look(); });
   struct stat now {};
   if (stat(path_.c_str(), &now) != 0) return fault(std::strerror(errno));
+  if (!S_ISREG(now.st_mode)) return fault("is no regular file"); // to open a pipe would hold up the loop
   if (same(now, seen_)) return;
   if (now.st_size > kMostList) return fault("is over 8 MiB");
   seen_ = now;
@@ -44,8 +46,11 @@
   std::ifstream in(path_, std::ios::binary);
   std::ostringstream text;
   text << in.rdbuf();
-  if (!in) return fault("can't be read");
-  auto list = nlohmann::json::parse(text.str(), nullptr, false);
+  if (!in) { // for want of a descriptor, say: it is tried again though it has not changed
+    seen_ = {};
+    return fault("can't be read");
+  }
+  auto list = config::parse_json(text.str());
   if (list.is_array()) list = {{"endpoints", std::move(list)}};
   if (!list.is_object()) return fault("is not JSON, or no list");
   list["index"] = ++versions_;
--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "config/address.h"
+#include "config/json.h"
 #include "log/log.h"
 
 namespace fernward::routes {
@@ -68,8 +69,8 @@
 }
 
 fernward::ServerList Table::apply(const std::string& text) {
-  const json from = json::parse(text, nullptr, false);
-  if (from.is_discarded()) throw Damaged("not JSON");
+  const json from = config::parse_json(text);
+  if (from.is_discarded()) throw Damaged("not JSON, or nested too deeply");
   return apply(from);
 }
 
--- a/src/setup/sound.cpp
+++ b/src/setup/sound.cpp
@@ -8,6 +8,7 @@
 #include <map>
 
 #include "config/address.h"
+#include "config/config.h"
 #include "setup/keys.h"
 #include "setup/ledger.h"
 
@@ -16,7 +17,6 @@
 
 constexpr std::size_t kLongestPath = 107; // of a unix socket, as the kernel has it
 constexpr std::size_t kLongestName = 64;
-constexpr std::uint32_t kReserved = 24; // descriptors for all but connections
 constexpr double kLedgerOnly = 0.95, kLedgerMuch = 0.5;
 
 std::string percent(double share) {
@@ -291,10 +291,10 @@
     }
     if (l.body_folder_mb == 0) fault("limits.body_folder_size_mb", "value", "must be above 0");
     const auto nodes = static_cast<std::uint32_t>(app_.fleet.nodes.size());
-    if (l.sockets >= 64 && nodes > (l.sockets - kReserved) * 3 / 4) {
+    if (l.sockets >= 64 && nodes > (l.sockets - config::kReserved) * 3 / 4) {
       fault("limits.sockets", "tables",
             "can't hold one connection to each of " + std::to_string(nodes) +
-                " nodes beside the clients': give " + std::to_string(nodes * 4 / 3 + kReserved + 1) +
+                " nodes beside the clients': give " + std::to_string(nodes * 4 / 3 + config::kReserved + 1) +
                 " or more");
     }
     const double needed = kBaseMb + l.sockets * kConnectionKb / 1024 + open_of(l) * kRequestKb / 1024;
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -1,5 +1,7 @@
 // The parts that need no sockets: configuration, route table, slots, deadlines, codecs.
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -11,6 +13,7 @@
 #include "egress/codec.h"
 #include "ingress/codec.h"
 #include "peers.h"
+#include "routes/file.h"
 #include "routes/table.h"
 
 using namespace fernward;
@@ -55,8 +58,8 @@
   says("settings.obligations.start_capacity",
        [](Json& f) { f["settings"]["obligations"]["start_capacity"] = 2; });
   says("settings.parties[0].share", [](Json& f) { f["settings"]["parties"][0]["share"] = 7; });
-  CHECK_THROWS_WITH_AS(config::parse("{", &no_environment), "NODE_CONFIG: the file is not JSON",
-                       config::Error);
+  CHECK_THROWS_WITH_AS(config::parse("{", &no_environment),
+                       "NODE_CONFIG: the file is not JSON, or nested too deeply", config::Error);
   CHECK_THROWS_WITH_AS(config::load(&no_environment), "NODE_CONFIG: is not set", config::Error);
 }
 
@@ -282,3 +285,66 @@
     CHECK(timeout(bad).status == 400);
   }
 }
+
+// guards: a process that any list, any file can end
+TEST_CASE("what is nested a million deep is refused like other noise") {
+  const std::string deep = std::string(2000000, '[') + std::string(2000000, ']');
+  routes::Table table({}, {}, true);
+  table.apply(node_list(1, true, {endpoint("s-1", "127.0.0.1:1")}));
+  Json entry = endpoint("s-2", "127.0.0.1:2");
+  entry["group"] = "DEEP";
+  std::string text = node_list(2, true, {entry}).dump();
+  text.replace(text.find("\"DEEP\""), 6, deep);
+  CHECK_THROWS_AS(table.apply(text), routes::Damaged);
+  CHECK(table.targets().size() == 1);
+  std::string file = config_json("127.0.0.1:1", "DEEP").dump();
+  file.replace(file.find("\"DEEP\""), 6, "{\"endpoints\":" + deep + "}");
+  CHECK_THROWS_AS(config::parse(file, &no_environment), config::Error);
+}
+
+TEST_CASE("the number of open requests is a number that a table can have") {
+  for (const char* value : {"0", "0.5", "-1", "1e300", "\"many\"", "[]"}) {
+    Json file = config_json("127.0.0.1:1", nullptr);
+    file["settings"]["limits"]["open_cap"] = Json::parse(value);
+    CAPTURE(value);
+    CHECK_THROWS_AS(config::parse(file.dump(), &no_environment), config::Error);
+  }
+  Json file = config_json("127.0.0.1:1", nullptr);
+  file["settings"]["limits"]["open_cap"] = 20000.0;
+  CHECK(config::parse(file.dump(), &no_environment).limits.open_cap == 20000);
+}
+
+// guards: a list that is never read, as its one look met a moment without descriptors; a pipe that is waited for
+TEST_CASE("a node file that could not be read is read once it can be; what is no file is told") {
+  const router::BasePtr base = router::make_base();
+  loop::Deadlines deadlines(base.get());
+  char folder[] = "/tmp/fernward-test-XXXXXX";
+  REQUIRE(mkdtemp(folder) != nullptr);
+  const std::string path = std::string(folder) + "/nodes.json";
+  int taken = 0;
+  const auto take = [&taken](const std::string&) { return static_cast<std::uint64_t>(++taken); };
+  SUBCASE("no descriptor at the first look") {
+    std::ofstream(path) << "[]";
+    rlimit usual{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const rlimit none{0, usual.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    const routes::FileWatch watch(deadlines, path, take);
+    const int at_first = taken;
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    CHECK(at_first == 0);
+    CHECK(run_until(base.get(), [&] { return taken == 1; }));
+  }
+  SUBCASE("a pipe") {
+    REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+    alarm(20); // it would be waited for without end
+    const routes::FileWatch watch(deadlines, path, take);
+    alarm(0);
+    CHECK(taken == 0);
+    unlink(path.c_str());
+    std::ofstream(path) << "[]";
+    CHECK(run_until(base.get(), [&] { return taken == 1; }));
+  }
+  unlink(path.c_str());
+  rmdir(folder);
+}
--- a/tests/net/program.h
+++ b/tests/net/program.h
@@ -66,6 +66,14 @@
     limit.rlim_cur = most;
     REQUIRE(prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr) == 0);
   }
+  void limit_files(rlim_t most) { // the bytes of each that it writes
+    const rlimit limit{most, RLIM_INFINITY};
+    REQUIRE(prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr) == 0);
+  }
+  void stop_reading() { // what it says, through the smallest of pipes
+    reads_ = false;
+    REQUIRE(fcntl(out_, F_SETPIPE_SZ, 4096) >= 0);
+  }
   bool ended() { // its exit code is then in `code`, 128 and more for a signal
     int status = 0;
     if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
@@ -91,6 +99,7 @@
 
  private:
   void read_on() {
+    if (!reads_) return;
     char bytes[4096];
     for (ssize_t n; (n = read(out_, bytes, sizeof bytes)) > 0;)
       text.append(bytes, static_cast<std::size_t>(n));
@@ -98,6 +107,7 @@
   std::string path_;
   pid_t pid_ = 0;
   int out_ = -1;
+  bool reads_ = true;
 };
 
 // A folder of a test's own.
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -296,3 +296,124 @@
   REQUIRE(s.until([&] { return program.ended(); }));
   CHECK(program.code == 0);
 }
+
+// guards: a router that stops with whoever reads its log
+TEST_CASE("a log that nobody reads holds up no request") {
+  Service s;
+  Program program({"serve"}, s.config());
+  const int port = s.port(program);
+  program.stop_reading();
+  int served = 0;
+  for (int i = 0; i < 400; ++i) { // a line each, far more than the pipe holds
+    Client client(s.base.get(), port);
+    served += client.ask(get("/k/" + std::to_string(i), "r" + std::to_string(i))).status == 200;
+  }
+  CHECK(served == 400);
+}
+
+// guards: a process that ends where a file may not grow
+TEST_CASE("a limit on the size of files: bodies that need one are passed on without, and the program lives") {
+  Service s;
+  Folder folder;
+  Json config = s.config();
+  config["limits"]["memory_mb"] = 16; // 256 KiB of a body are kept in memory
+  config["limits"]["body_folder"] = folder.path;
+  config["settings"]["extra"] = {{"mode", "through"}}; // its one node takes writes
+  Program program({"serve"}, config);
+  Client client(s.base.get(), s.port(program));
+  program.limit_files(100000);
+  s.cache.script = [](const http::Message& m) { return ok(std::to_string(m.body.size())); };
+  const auto answer = client.ask(put("/k/1", "r1", std::string(2 << 20, 'b')));
+  INFO(program.text);
+  CHECK(answer.body == std::to_string(2 << 20));
+  CHECK_FALSE(program.ended());
+}
+
+// ---- other deployments than the one in service ----
+
+namespace {
+
+struct Deployment {
+  const char* what;
+  std::function<void(Json&)> change;
+};
+
+} // namespace
+
+TEST_CASE("deployments with other times, sizes and classes start, serve, give up in time and end") {
+  const std::vector<Deployment> all = {
+      {"aims of 20 ms",
+       [](Json& f) {
+         for (auto& c : f["settings"]["classes"]) c["aim"] = 20, c["give_up"] = 50;
+       }},
+      {"give-ups of 30 s",
+       [](Json& f) {
+         for (auto& c : f["settings"]["classes"]) c["aim"] = 15000, c["give_up"] = 30000;
+       }},
+      {"64 descriptors, 8 MB",
+       [](Json& f) {
+         f["limits"] = {{"sockets", 64}, {"memory_mb", 8}};
+       }},
+      {"10,000 descriptors, 4 GB",
+       [](Json& f) {
+         f["limits"] = {{"sockets", 10000}, {"memory_mb", 4096}};
+       }},
+      {"no origin",
+       [](Json& f) {
+         f["settings"]["extra"] = {{"mode", "through"}};
+       }},
+      {"one class, nothing allowed",
+       [](Json& f) {
+         f["settings"]["classes"] =
+             Json::array({{{"name", "read"}, {"give_up", 1000}, {"repeat", "unsafe"}}});
+         f["settings"]["limits"] = {{"max_attempts", 1}};
+       }},
+      {"twenty classes, a hundred tenants, 500 routers",
+       [](Json& f) {
+         for (int i = 0; i < 18; ++i)
+           f["settings"]["classes"].push_back(
+               {{"name", "c" + std::to_string(i)}, {"give_up", 100 + i}, {"repeat", "safe"}});
+         for (int i = 0; i < 100; ++i)
+           f["settings"]["parties"].push_back({{"name", "t" + std::to_string(i)}, {"share", 0.01}});
+         f["settings"]["balancers"] = 500;
+       }},
+      {"a thousand nodes",
+       [](Json& f) {
+         const std::string address = f["known"]["endpoints"][0]["address"];
+         for (int i = 0; i < 1000; ++i)
+           f["known"]["endpoints"].push_back(endpoint("x-" + std::to_string(i), address));
+       }},
+      {"a second address", [](Json& f) { f["limits"]["sockets"] = 64, f["control"] = "127.0.0.1:0"; }}};
+  for (const Deployment& d : all) {
+    CAPTURE(d.what);
+    Service s;
+    Json config = s.config();
+    d.change(config);
+    Program program({"serve"}, config);
+    const int port = s.port(program);
+    REQUIRE(port != 0);
+    Client client(s.base.get(), port);
+    int served = 0, answered = 0;
+    for (int i = 0; i < 20; ++i) {
+      const int status = client.ask(get("/k/" + std::to_string(i), "r" + std::to_string(i))).status;
+      served += status == 200;
+      answered += status != 0;
+    }
+    CHECK(answered == 20);
+    CHECK(served >= 1); // a busy machine may be late for an aim of 20 ms
+    // Its node falls silent: answered by its own time, or at the end at the latest.
+    s.cache.script = [](const http::Message&) { return std::string(); };
+    const std::size_t before = s.cache.seen.size();
+    client.send(
+        "GET /k/s HTTP/1.1\r\nX-Request-ID: silent\r\nX-Priority-Class: read\r\n\r\n"); // for as long as its class
+    REQUIRE(s.until([&] { return s.cache.seen.size() > before || client.answers.size() > 20; }));
+    program.signal(SIGTERM);
+    const double told = loop::now_ms();
+    REQUIRE(s.until([&] { return program.ended(); }));
+    CHECK(program.code == 0);
+    CHECK(loop::now_ms() - told < 4200); // the platform kills after 3.7 s; the rest is a busy machine's
+    REQUIRE(s.until([&] { return client.answers.size() == 21 || client.closed; }));
+    REQUIRE(client.answers.size() == 21);
+    CHECK(client.answers.back().status >= 500);
+  }
+}
