--- a/lab/limiters/rivals.cpp
+++ b/lab/limiters/rivals.cpp
@@ -68,7 +68,6 @@
   }
   void sent(double now) override { limiter_.sent(now); }
   void ended(double now, const Sample& s) override { limiter_.ended(now, s); }
-  void reported(double now, double queue) override { limiter_.reported(now, queue, -1); }
   double limit() const override { return limiter_.limit(); }
   double crowding(double now, double out) const override { return limiter_.crowding(now, out); }
 
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -6,8 +6,8 @@
 namespace fernward::limits {
 namespace {
 
-constexpr double kCacheStart = 12;   // attempts at once that all routers together let a new cache have
-constexpr double kOriginStart = 32;  // and a new origin
+constexpr double kOriginStart = 32;  // attempts at once that all routers together let a new origin have
+constexpr double kWriteTurn = 1;     // that a write may count on however low the limit
 constexpr double kLeast = 1.0 / 256; // of the start
 constexpr double kMost = 4096;
 constexpr double kWriteShare = 1.25; // of the origin limit that writes may fill; reads fill it once
@@ -32,19 +32,15 @@
 constexpr double kClearDown = 0.5, kClearUp = 0.3; // by which it follows what was seen after a cut
 constexpr double kFewClear = 6, kManyClear = 16;   // samples that this takes
 constexpr double kUnused = 0.98; // by which each answer takes back a limit less than half used
-constexpr double kRateMs = 1000; // over which answers are counted
 
 } // namespace
 
-Limiter Limiter::cache(double nodes) {
-  return Limiter(std::max(nodes, 1.0), kCacheStart / std::max(nodes, 1.0), 0, false);
-}
 Limiter Limiter::origin(double nodes) {
-  return Limiter(std::max(nodes, 1.0), kOriginStart / std::max(nodes, 1.0), 1, true);
+  return Limiter(std::max(nodes, 1.0), kOriginStart / std::max(nodes, 1.0));
 }
 
-Limiter::Limiter(double nodes, double start, double turn, bool origin)
-    : limit_(start), start_(start), nodes_(nodes), turn_(turn), origin_(origin), used_(start), was_(start) {}
+Limiter::Limiter(double nodes, double start)
+    : limit_(start), start_(start), nodes_(nodes), used_(start), was_(start) {}
 
 double Limiter::tokens(double now, double pace) const {
   if (sent_at_ == kNever) return 1;
@@ -52,9 +48,9 @@
 }
 
 bool Limiter::room(double now, std::uint32_t out, bool write) const {
-  const double held = out > stuck_ ? out - stuck_ : 0;
-  if (write && held < turn_) return true;
-  const double mine = write && origin_ ? kWriteShare * limit_ : limit_;
+  const double held = out;
+  if (write && held < kWriteTurn) return true;
+  const double mine = write ? kWriteShare * limit_ : limit_;
   const double whole = std::floor(mine);
   // What is left beyond whole attempts is a pace: rounded up it would add up to a crowd over many routers.
   return held < whole || (held == whole && tokens(now, mine - whole) >= 1);
@@ -79,7 +75,6 @@
   if (!usable_number(s.elapsed_ms)) s.elapsed_ms = 0;
   if (!usable_number(s.work_ms)) s.work_ms = 0;
   if (!usable_number(s.aim_ms)) s.aim_ms = 0;
-  if (s.stuck) stuck_ -= stuck_ > 0;
   const double sent = now - s.elapsed_ms;
   smooth(used_, std::min<double>(s.out + 1.0, limit_), 0.1);
   switch (s.ending) {
@@ -89,14 +84,12 @@
       cut(now, 0.7 * std::min(limit_, s.out + 1.0));
       return Sign::TurnedAway;
     case Ending::Answered:
-      answers_ = answers_ * std::exp(-std::max(0.0, now - answers_at_) / kRateMs) + 1;
-      answers_at_ = now;
       silent_ = 0;
       later_ = std::max(later_, sent);
       break;
     case Ending::Silent:
       // Where what was sent later has been answered, or answers came at all since, the connection is at fault.
-      if (s.stuck || later_ >= sent) return Sign::None;
+      if (later_ >= sent) return Sign::None;
       if (++silent_ < 2) return Sign::None;
       break;
     case Ending::Fault:
@@ -220,20 +213,6 @@
   tokens_ = std::min(tokens_, 0.0);
 }
 
-void Limiter::reported(double, double, double) {}
-
-double Limiter::patience_ms() const { return 4 * recent_ms_; }
-
-bool Limiter::overdue(double, double sent_at) {
-  if (later_ <= sent_at) return false;
-  ++stuck_;
-  return true;
-}
-
-double Limiter::answers_per_ms(double now) const {
-  return answers_ * std::exp(-std::max(0.0, now - answers_at_) / kRateMs) / kRateMs;
-}
-
 double Limiter::crowding(double, double out) const { return std::max(out / limit_, (slow_ - 1) / 0.6); }
 
 } // namespace fernward::limits
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -29,7 +29,6 @@
   double aim_ms = 0;  // an answer within this is worth something; 0: no aim
   bool write = false;
   std::uint32_t out = 0; // this router's attempts at the server that are still out after this one
-  bool stuck = false;    // overdue() said true of it
 };
 
 // What a sample did to the limit, for the caller's log.
@@ -37,33 +36,22 @@
 
 class Limiter {
  public:
-  static Limiter cache(double nodes); // a server among many, shared by `nodes` routers
-  static Limiter origin(
-      double nodes); // the last resort of all: starts higher, always leaves a write its turn
+  // Of the last resort of all, shared by `nodes` routers: it always leaves a write its turn.
+  static Limiter origin(double nodes);
 
   // May one more go out, `out` being out already?
   bool room(double now, std::uint32_t out, bool write) const;
   void sent(double now);
   Sign ended(double now, const Sample& sample);
-  // The server's own word: requests waiting there, and its service time without waiting; negative: not told.
-  void reported(double now, double queue, double service_ms);
 
-  // An attempt out for longer than this is likely to be stuck: then ask overdue(). 0: not known yet.
-  double patience_ms() const;
-  // Is it the connection's fault alone, as the server has answered what was sent later? Then the attempt takes no room
-  // any more, and its sample says `stuck` when it ends. Else it may be asked again later.
-  bool overdue(double now, double sent_at);
-
-  double limit() const { return limit_; }              // attempts at once; below one it is a pace
-  double recent_ms() const { return recent_ms_; }      // response time lately; 0: none seen
-  double floor_ms() const { return floor_.mean_ms(); } // the same where nobody waits; 0: not known yet
-  double answers_per_ms(double now) const;
+  double limit() const { return limit_; }         // attempts at once; below one it is a pace
+  double recent_ms() const { return recent_ms_; } // response time lately; 0: none seen
   // How full the server is, as a share of what makes the limit fall: 0 nobody there, over 1 the limit falls.
   // `out`: this router's attempts there and those waiting for it.
   double crowding(double now, double out) const;
 
  private:
-  Limiter(double nodes, double start, double turn, bool origin);
+  Limiter(double nodes, double start);
   double tokens(double now, double pace) const;
   double expected(const Sample& s) const { return floor_.expected_ms(s.work_ms, s.write); }
   double tolerance(double aim_ms) const;
@@ -71,8 +59,8 @@
   void grow(const Sample& s);
   void cut(double now, double to);
 
-  double limit_, start_, nodes_, turn_; // turn: what a write may count on however low the limit
-  bool origin_, doubling_ = true;
+  double limit_, start_, nodes_;
+  bool doubling_ = true;
   Floor floor_;
   double recent_ms_ = 0;
   double slow_ = 1;   // time over floor, lately
@@ -87,8 +75,6 @@
   double cut_at_ = kNever, settled_at_ = kNever,
          later_ = kNever; // later_: when the latest attempt that was answered had been sent
   double silent_ = 0;     // attempts in a row that ended without a word
-  std::uint32_t stuck_ = 0;
-  double answers_ = 0, answers_at_ = 0; // a fading count
 };
 
 } // namespace fernward::limits
--- a/tests/limits/limiter_test.cpp
+++ b/tests/limits/limiter_test.cpp
@@ -27,7 +27,7 @@
 }
 
 TEST_CASE("a limit that is used grows, one that is turned away falls") {
-  Limiter l = Limiter::cache(1);
+  Limiter l = Limiter::origin(1);
   const double before = l.limit();
   double now = 0;
   for (int i = 0; i < 50; ++i) {
