--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-int version_command(const arguments::Arguments&) {
+int version_command(const arguments::Arguments& given) {
+  cxxopts::Options options("fernward-lab version", "Print the version");
+  arguments::parse(options, given);
   std::printf("fernward-lab %s\n", FERNWARD_VERSION);
   return arguments::kWell;
 }
--- a/src/commands/sidecar.cpp
+++ b/src/commands/sidecar.cpp
@@ -34,7 +34,7 @@
       "with the address in its environment, and its exit code is this one's");
   options.add_options()("config", "The application's file (TOML)", cxxopts::value<std::string>())(
       "log-format", "text or json; goes before the file's", cxxopts::value<std::string>());
-  options.positional_help("-- COMMAND [WORD...]");
+  options.custom_help("[OPTION...] -- COMMAND [WORD...]");
   const auto split = std::find(given.begin(), given.end(), "--");
   const auto parsed = arguments::parse(options, {given.begin(), split});
   if (parsed.count("config") != 1) throw arguments::UsageError("--config is wanted");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-int version(const arguments::Arguments&) {
+int version(const arguments::Arguments& given) {
+  cxxopts::Options options("fernward version", "Print the version");
+  arguments::parse(options, given);
   std::printf("fernward %s\n", FERNWARD_VERSION);
   return arguments::kWell;
 }
