Upgrades at each stage of a request; impostors at the door; connections that never come up

The handover tests take their ports below those that the system deals out: one of ten repeats on a loaded machine failed as another test's client had the port.

--- a/tests/handover/replace_test.cpp
+++ b/tests/handover/replace_test.cpp
@@ -5,6 +5,7 @@
 #include <sys/un.h>
 
 #include <map>
+#include <random>
 #include <thread>
 
 #include "caller.h"
@@ -16,16 +17,20 @@
 
 namespace {
 
+// Below what the system deals out by itself: there another test's client could have it before the router does.
 int free_port() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in where{};
-  where.sin_family = AF_INET;
-  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof where;
-  REQUIRE(bind(fd, reinterpret_cast<const sockaddr*>(&where), size) == 0);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size);
-  close(fd);
-  return ntohs(where.sin_port);
+  static std::mt19937 draw(std::random_device{}());
+  for (;;) {
+    const int port = std::uniform_int_distribution<int>(10240, 32000)(draw);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    where.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&where), sizeof where) == 0;
+    close(fd);
+    if (free) return port;
+  }
 }
 
 // A router that is replaced: its address, its folder, its peers, and one process after the other.
@@ -278,6 +283,55 @@
   CHECK(client.ask(get("/k/1", "r1")).status == 200);
 }
 
+namespace {
+
+// At the door, in place of a process: says its word to whoever comes, or nothing, and may hang up.
+struct Impostor {
+  Impostor(event_base* base, const std::string& path, std::string what, bool hangs_up)
+      : word(std::move(what)), ends(hangs_up) {
+    sockaddr_un where{};
+    where.sun_family = AF_UNIX;
+    path.copy(where.sun_path, sizeof where.sun_path - 1);
+    listener = evconnlistener_new_bind(base, &Impostor::accepted, this, LEV_OPT_CLOSE_ON_FREE, 4,
+                                       reinterpret_cast<sockaddr*>(&where), sizeof where);
+    REQUIRE(listener != nullptr);
+  }
+  ~Impostor() {
+    evconnlistener_free(listener);
+    for (const int fd : open) close(fd);
+  }
+  static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+    auto* impostor = static_cast<Impostor*>(self);
+    [[maybe_unused]] const auto n = write(fd, impostor->word.data(), impostor->word.size());
+    impostor->ends ? void(close(fd)) : impostor->open.push_back(fd);
+  }
+  std::string word;
+  bool ends;
+  evconnlistener* listener = nullptr;
+  std::vector<int> open;
+};
+
+} // namespace
+
+TEST_CASE("a process at the door that does not answer as one keeps nobody from starting") {
+  Line line;
+  std::string word, why;
+  bool ends = false;
+  SUBCASE("silence") { why = "no answer in time"; }
+  SUBCASE("its end") { ends = true, why = "it "; } // ended, or did not take the question: as it comes
+  SUBCASE("noise") { word = "HTTP/1.1 400 Bad Request\r\n\r\n", why = "no frame"; }
+  SUBCASE("another message") { word = handover::encode(handover::Serving{}), why = "not a welcome"; }
+  SUBCASE("a welcome without its descriptor") {
+    word = handover::encode(handover::Welcome{}), why = "no descriptor";
+  }
+  const Impostor impostor(line.base.get(), line.door, word, ends);
+  Program& program = line.start();
+  INFO(program.text);
+  CHECK(program.says("handover-fails why=\"" + why));
+  Client client(line.base.get(), line.port);
+  CHECK(client.ask(get("/k/1", "r1")).status == 200);
+}
+
 TEST_CASE("strangers at the door change nothing") {
   Line line;
   Program& program = line.start();
@@ -342,3 +396,62 @@
   Client client(line.base.get(), line.port);
   CHECK(client.ask(get("/k/1", "r1")).status == 200);
 }
+
+// Wherever a request stands when its process is replaced, it is answered whole and once, and asked for once at the nodes.
+TEST_CASE("an upgrade at each stage of a request: one whole answer, one attempt") {
+  const std::string value(1 << 20, 'L'), body(1 << 20, 'b');
+  const std::string upload =
+      "PUT /k/1 HTTP/1.1\r\nHost: h\r\nX-Request-ID: r1\r\nX-Priority-Class: book\r\nIdempotency-Key: "
+      "k\r\nX-Timeout-Ms: 2000\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string lookup = get("/k/1", "r1");
+  const struct {
+    const char* name;
+    std::string request, answer;
+    std::size_t sent, said; // of the two, before the upgrade
+  } stages[] = {{"connected", lookup, ok("v"), 0, 0},
+                {"head", lookup, ok("v"), 30, 0},
+                {"body", upload, ok("v"), 600 << 10, 0},
+                {"awaiting", lookup, ok("v"), lookup.size(), 0},
+                {"answer head", lookup, ok("v"), lookup.size(), 20},
+                {"answer body", lookup, ok("value"), lookup.size(), ok("value").size() - 1},
+                {"passing", lookup, ok(value), lookup.size(), 300 << 10}};
+  for (const auto& stage : stages) {
+    CAPTURE(stage.name);
+    Line line;
+    bool paused = true;
+    const Peer::Script script = [&](const http::Message& m) {
+      if (m.header("x-request-id") != "r1") return ok("v of " + m.target);
+      return paused ? stage.answer.substr(0, stage.said) : stage.answer;
+    };
+    line.one.script = line.two.script = line.origin.script = script;
+    line.start();
+    Client client(line.base.get(), line.port);
+    const auto asked = [&] { return line.one.seen.size() + line.two.seen.size() + line.origin.seen.size(); };
+    client.send(stage.request.substr(0, stage.sent));
+    const bool whole = stage.sent == stage.request.size();
+    REQUIRE(
+        line.until([&] { return whole ? asked() == 1 : stage.sent < 1000 || line.origin.body_come > 0; }));
+    if (stage.said > 100000) REQUIRE(line.until([&] { return client.come() > 0; }));
+    Program& old = *line.programs.back();
+    line.start();
+    old.signal(SIGTERM);
+    REQUIRE(line.until([&] { return old.says("handover-passes"); }));
+    run_for(line.base.get(), 30);
+    paused = false;
+    client.send(stage.request.substr(stage.sent));
+    if (whole) {
+      for (Peer* peer : {&line.one, &line.two, &line.origin}) {
+        if (!peer->seen.empty()) peer->say(stage.answer.substr(stage.said));
+      }
+    }
+    REQUIRE(line.until([&] { return !client.answers.empty() || client.closed; }));
+    REQUIRE(client.answers.size() == 1);
+    CHECK(client.answers[0].status == 200);
+    CHECK((client.answers[0].body == stage.answer.substr(stage.answer.find("\r\n\r\n") + 4)));
+    CHECK(asked() == 1);
+    REQUIRE(line.until([&] { return old.ended(); }));
+    CHECK(old.code == 0);
+    CHECK(line.programs.back()->says("handover-done"));
+  }
+}
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -626,6 +626,49 @@
   CHECK(w.peer.connections == 2);
 }
 
+// Its machine takes the first packet and says nothing: a queue of connections that is full looks the same.
+TEST_CASE("a connection that never comes up is given up in its time, and its place comes back") {
+  egress::PoolOptions options;
+  options.connect_timeout_ms = 80;
+  PoolWorld w(10, options);
+  const int deaf = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof where;
+  REQUIRE(bind(deaf, reinterpret_cast<const sockaddr*>(&where), size) == 0);
+  REQUIRE(listen(deaf, 0) == 0);
+  getsockname(deaf, reinterpret_cast<sockaddr*>(&where), &size);
+  std::vector<int> fills;
+  for (int i = 0; i < 4; ++i) {
+    fills.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    ::connect(fills.back(), reinterpret_cast<const sockaddr*>(&where), size);
+  }
+  w.list("in_service", 0, "127.0.0.1:" + std::to_string(ntohs(where.sin_port)));
+  const double begun = loop::now_ms();
+  REQUIRE(w.start(1) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return !w.endings.empty(); }));
+  CHECK(w.endings[0] == Result::ConnectFailed);
+  CHECK(loop::now_ms() - begun >= 75);
+  CHECK(w.pool->connections() == 0);
+  CHECK(w.account->used(budget::Side::Targets) == 0);
+  for (const int fd : fills) close(fd);
+  close(deaf);
+}
+
+TEST_CASE("a connection that comes up after its attempt was given up rests, and serves the next") {
+  PoolWorld w;
+  REQUIRE(w.start(1) == Start::Begun);
+  w.pool->cancel(1);
+  REQUIRE(run_until(w.base.get(), [&] { return w.peer.connections == 1; }));
+  run_for(w.base.get(), 5);
+  CHECK(w.pool->connections() == 1);
+  REQUIRE(w.start(2) == Start::Begun);
+  REQUIRE(run_until(w.base.get(), [&] { return !w.endings.empty(); }));
+  CHECK(w.endings[0] == Result::Ok);
+  CHECK(w.peer.connections == 1);
+}
+
 // guards: sound targets ejected for what this machine lacks
 TEST_CASE("without a local port an attempt is moot; a target without a way to it could not be reached") {
   PoolWorld w;
