--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -199,6 +199,19 @@
   EXPECT_TRUE(node.final_answer(1));
 }
 
+// Found by reading: a constant of three seconds stood in for the aim.
+TEST(RequestLife, WithoutAnAimTheGiveUpTimeSaysWhatIsSlow) {
+  Settings s = plain_settings();
+  s.classes[0].aim_ms = 0;
+  s.classes[0].give_up_ms = 300;
+  Node node(s);
+  node.caches(3);
+  node.request(1, 42, {.deadline = node.now + 300});
+  ASSERT_EQ(node.sends_of(1).size(), 1u);
+  node.wait(110); // a third of it is over, and nothing has come: a copy goes out
+  EXPECT_EQ(node.sends_of(1).size(), 2u);
+}
+
 TEST(RequestLife, NothingFollowsAFinalAnswer) {
   Node node(plain_settings());
   node.caches(3);
