One way to drop a log line; its test of room named for what it tells

Read again: a dropped line was counted in two places of log.cpp, the look whether standard error has room was named after its outcome, its headers stood behind the C++ ones, and a comment in router.cpp named a constant that is not there. The other pairs counted are left: two timers that look alike watch opposite directions (limit_taking, limit_silence) and share no more than the form of a timer.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,13 +1,13 @@
 #include "log/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
 
-#include <poll.h>
-#include <unistd.h>
-
 namespace fernward::log {
 namespace {
 
@@ -23,12 +23,13 @@
     tokens = std::min(burst, tokens + per_second * std::chrono::duration<double>(now - filled).count());
     filled = now;
     if (tokens < 1 + reserve) {
-      ++dropped, ++untold;
+      drop();
       return false;
     }
     tokens -= 1;
     return true;
   }
+  void drop() { ++dropped, ++untold; }
 };
 
 Bucket bucket;
@@ -75,17 +76,14 @@
 
 // A reader that has stopped must not stop the router: a full pipe would hold up its one thread. Where poll() says that
 // there is room, a pipe takes 4096 bytes, and no line is as long.
-bool taken() {
+bool has_room() {
   pollfd out{STDERR_FILENO, POLLOUT, 0};
   return poll(&out, 1, 0) != 0;
 }
 
 void write(double reserve, std::string_view event, const Field* fields, std::size_t count) {
   if (!bucket.take(reserve)) return;
-  if (!taken()) {
-    ++bucket.dropped, ++bucket.untold;
-    return;
-  }
+  if (!has_room()) return bucket.drop();
   std::string out;
   out.reserve(160);
   if (as_json) {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -88,7 +88,7 @@
   return options;
 }
 
-// How long a request that was taken at the last moment may still take. The platform waits no longer than kLongestWaited for
+// How long a request that was taken at the last moment may still take. The platform waits no longer than kLongestWaitedMs for
 // it; a sidecar, whose router is `movable`, for the longest of its own classes.
 double longest_give_up(const config::Config& config) {
   double longest = 0;
