A ledger that refuses a connection wants a place for it, not less work

Its table was full of connections that routers kept at rest; the limiter took each for crowding and cut itself to 0 or 1 (1,596 times), and 25,419 requests were queued-late with the ledger at ease.

limits/places.h keeps to the connections that were had and tries a further one after one to eight response times; the limit stays.

Ruled out: crowding (no kept connection was ever turned away).

--- a/include/fernward/choice.h
+++ b/include/fernward/choice.h
@@ -148,6 +148,7 @@
   bool ended = false;        // the request has its final answer
   std::vector<float> report; // values in the order of Settings::report_fields; empty: none
   bool rested = false;       // on a connection kept at rest before: a reset may be of the connection alone
+  bool first = false;        // on its connection: turned away, it may be for want of a place for that
   bool spent = false;        // the request can't be sent again: of its body a part is gone
 };
 
--- a/src/egress/pool.h
+++ b/src/egress/pool.h
@@ -25,6 +25,9 @@
   double connect_timeout_ms = 250;
   double idle_ms =
       10000; // an idle connection is closed after this, or sooner where its target is seen to do so
+  // One of a kind whose connections many routers share: those that rest beside another are closed after `spare_ms`. None: -1.
+  std::int64_t scarce_kind = -1;
+  double spare_ms = 1000;
   std::vector<std::string> report_fields;
   bodies::AnswerRules answers;
   double silent_ms =
@@ -80,6 +83,7 @@
     double deadline = 0, opened_at = 0, rested_at = 0;
     double rested_ms = -1; // before its present request; below 0: that is its first
     bool trial = false;    // it had rested longer than is believed safe
+    bool first = true;     // its present request is the first
     // What becomes of the body that comes: it waits here until it is whole or begins, it is passed on, or it is
     // of no use to anybody.
     enum class Way { Wait, Pass, Skip } way = Way::Wait;
--- a/src/exchange/call.h
+++ b/src/exchange/call.h
@@ -67,6 +67,7 @@
   // about its target: the connection may have been closed before.
   bool rested = false;
   double rested_ms = 0;
+  bool first = false; // that went out on its connection
 };
 
 // The client's side, as the driver sees it. A client that has left, or waits for nothing, is passed over.
--- a/src/exchange/driver.cpp
+++ b/src/exchange/driver.cpp
@@ -307,12 +307,13 @@
   }
   // What the client's slowness took is no sign of the target's.
   const double elapsed = std::max(0.0, loop::now_ms() - a.sent_at - ending.paused_ms);
-  outcome(a.exchange, a.number, a.target, elapsed, ending.result, std::move(ending.report), ending.rested);
+  outcome(a.exchange, a.number, a.target, elapsed, ending.result, std::move(ending.report), ending.rested,
+          ending.first);
   drop_if_done(a.exchange);
 }
 
 void Driver::outcome(Handle exchange, std::uint32_t number, fernward::ServerId target, double elapsed,
-                     Result result, std::vector<float> report, bool rested) {
+                     Result result, std::vector<float> report, bool rested, bool first) {
   const Exchange* x = exchanges_.find(exchange);
   fernward::Outcome told;
   told.id = exchange;
@@ -327,6 +328,7 @@
   }
   told.report = std::move(report);
   told.rested = rested;
+  told.first = first;
   enqueue(std::move(told));
 }
 
--- a/src/exchange/driver.h
+++ b/src/exchange/driver.h
@@ -91,7 +91,8 @@
   void go_on(Handle exchange);
   void wake();
   void outcome(Handle exchange, std::uint32_t number, fernward::ServerId target, double elapsed,
-               fernward::Result result, std::vector<float> report = {}, bool rested = false);
+               fernward::Result result, std::vector<float> report = {}, bool rested = false,
+               bool first = false);
   void give_up(Handle exchange, fernward::Why why, Answer answer);
   void finish(Handle exchange, Answer* answer, bool whole = false);
   void overdue(Handle exchange);
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -65,7 +65,8 @@
     r.entry = s;
     if (restarted) r.forget();
     if (added || restarted) r.gate = limits::Gate(set.nodes);
-    if (is_origin(r) && (added || restarted)) origin_limit = limits::Limiter::origin(set.nodes);
+    if (is_origin(r) && (added || restarted))
+      origin_limit = limits::Limiter::origin(set.nodes), origin_places = {};
     if (s.booted_at > 0) r.cold_since = std::max(r.cold_since, s.booted_at);
   }
   arrange();
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -10,6 +10,7 @@
 #include "limits/allowance.h"
 #include "limits/lateness.h"
 #include "limits/limiter.h"
+#include "limits/places.h"
 #include "limits/queue.h"
 #include "limits/shedder.h"
 #include "placement/placement.h"
@@ -29,6 +30,7 @@
   placement::Placement<Replica> places;
   Replica* origin = nullptr;
   limits::Limiter origin_limit = limits::Limiter::origin(1);
+  limits::Places origin_places;
   limits::Queue origin_queue;
   std::vector<RequestId> leaving_queue; // scratch
   limits::Allowance allowance;
@@ -83,7 +85,9 @@
   double warmth(const Replica& r) const;
   bool start_allows(const Replica& r, const Open& o, bool first) const;
   bool usable(const Replica& r) const;
-  bool repeatable(const Open& o, const Replica& r) const;
+  bool repeatable(const Open& o, const Replica& r) const {
+    return (o.out == 0 || set.may_duplicate) && may_repeat(set, o, r.entry, now);
+  }
   double aim_of(const Open& o) const;
   bool over_quota(std::uint32_t tenant);
   bool choose(Open& o);
@@ -112,7 +116,6 @@
   void after_miss(Open& o);
   void to_origin(Open& o);
   void pump_origin();
-  void leave_queue(Open& o, Why why);
   void end_fetch(Open& leader, bool stored);
 
   // answer.cpp: the final answer
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -39,16 +39,6 @@
   return !r.ejected || panic || (!set.may_probe && !r.trial_out && now >= r.trial_at);
 }
 
-// Repeating `o` at `r` carries out no effect twice.
-bool Balancer::Impl::repeatable(const Open& o, const Replica& r) const {
-  const ClassSettings& c = set.classes[o.in.cls];
-  if (o.out > 0 && !set.may_duplicate) return false;
-  if (c.repeat == Repeat::Safe || (!o.maybe_ran && o.out == 0)) return true;
-  if (c.repeat == Repeat::Unsafe || now - o.ran_at >= c.window_ms - 2 * set.tick_ms) return false;
-  return c.scope == Scope::All || (c.scope == Scope::Zone && r.entry.zone == o.ran_zone) ||
-         (c.scope == Scope::Cell && r.entry.cell == o.ran_cell);
-}
-
 // ---- a request arrives ----
 
 void Balancer::Impl::take(const Request& in) {
--- a/src/policy/origin.cpp
+++ b/src/policy/origin.cpp
@@ -39,17 +39,21 @@
   pumping = true;
   // A closed loop: what may be out, each for a response time.
   const double answer_ms = origin_limit.recent_ms();
-  const double most = places.pace().per_ms(now), turns = answer_ms > 0 ? origin_limit.limit() / answer_ms : 0;
+  const double most = places.pace().per_ms(now), all = std::min(origin_limit.limit(), origin_places.most()),
+               turns = answer_ms > 0 ? all / answer_ms : 0;
   origin_queue.serves(most > 0 && turns > 0 ? std::min(most, turns) : turns, answer_ms);
   origin_queue.leave(now, leaving_queue);
   for (std::size_t i = 0; i < leaving_queue.size(); ++i) {
-    if (Open* o = live(leaving_queue[i])) leave_queue(*o, Why::QueuedLate);
+    Open* o = live(leaving_queue[i]);
+    if (o != nullptr) o->queued = false;
+    if (o != nullptr && o->out == 0) conclude(*o, Why::QueuedLate);
   }
   leaving_queue.clear();
   while (true) {
     const std::uint32_t out = origin->working();
-    const bool read_room = origin_limit.room(now, out, false) && places.pace().may_fetch(now);
-    const auto next = origin_queue.take(now, read_room, origin_limit.room(now, out, true));
+    const bool place = origin_places.room(now, out);
+    const bool read_room = place && origin_limit.room(now, out, false) && places.pace().may_fetch(now);
+    const auto next = origin_queue.take(now, read_room, place && origin_limit.room(now, out, true));
     if (!next) break;
     Open* o = live(*next);
     if (o == nullptr) continue;
@@ -59,11 +63,6 @@
   pumping = false;
 }
 
-void Balancer::Impl::leave_queue(Open& o, Why why) {
-  o.queued = false;
-  if (o.out == 0) conclude(o, why);
-}
-
 // The fetch that others waited for is over: they read what it stored, or the next of them fetches.
 void Balancer::Impl::end_fetch(Open& leader, bool stored) {
   leader.leads = false;
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -62,17 +62,21 @@
       return r.gate.answered(now, elapsed, aim_of(o), r.working());
     return e.result == Result::Full;
   }
+  // A connection refused by one that works: it wants places for connections, not room for work.
+  const bool connects = e.result == Result::ConnectFailed && answers_others(r);
+  if (connects || (e.result == Result::Full && e.first)) {
+    origin_places.refused(now, r.working(), origin_limit.recent_ms(), random.unit());
+    log("origin refuses further connections, in use:", r.working());
+    return false;
+  }
   limits::Sample s{limits::Ending::Answered, elapsed, o.in.work_ms, aim_of(o), o.in.write, r.working()};
   switch (e.result) {
     case Result::Miss: // quick, whatever the server is about
     case Result::Rejected:
     case Result::Moot: return false;
-    case Result::Ok: break;
+    case Result::Ok: origin_places.had(r.working() + 1); break;
     case Result::Full: s.ending = limits::Ending::TurnedAway; break;
-    case Result::ConnectFailed: // full of connections, unless it answers others
-      if (answers_others(r)) return false;
-      s.ending = limits::Ending::Unreached;
-      break;
+    case Result::ConnectFailed: s.ending = limits::Ending::Unreached; break;
     case Result::Error:
     case Result::Reset: s.ending = limits::Ending::Fault; break;
     case Result::TimedOut: s.ending = limits::Ending::Silent; break;
@@ -157,8 +161,9 @@
     if (!allowance.spend(now, limits::Allowance::Use::Retry, crowding)) return conclude(o, Why::Allowance);
   }
   if (origin != nullptr && e.server == origin->entry.id) {
-    // A fault, not crowding: there is nothing to wait for.
-    if (e.result == Result::Error || e.result == Result::Reset) return to_origin(o);
+    // A fault, not crowding: there is nothing to wait for. Or a place, which the queue waits for.
+    if (e.result == Result::Error || e.result == Result::Reset || !origin_places.room(now, origin->working()))
+      return to_origin(o);
     if (!repeatable(o, *origin)) return conclude(o, Why::Class);
     const double wait = std::max(origin_limit.recent_ms(), set.tick_ms) * (0.5 + random.unit());
     if (now + wait >= o.end_at) return conclude(o, Why::QueuedLate); // to give up is to answer now
--- a/src/requests/request.h
+++ b/src/requests/request.h
@@ -54,6 +54,15 @@
   }
 };
 
+// Repeating `o` at `at` carries out no effect twice.
+inline bool may_repeat(const Settings& set, const Open& o, const Server& at, double now) {
+  const ClassSettings& c = set.classes[o.in.cls];
+  if (c.repeat == Repeat::Safe || (!o.maybe_ran && o.out == 0)) return true;
+  if (c.repeat == Repeat::Unsafe || now - o.ran_at >= c.window_ms - 2 * set.tick_ms) return false;
+  return c.scope == Scope::All || (c.scope == Scope::Zone && at.zone == o.ran_zone) ||
+         (c.scope == Scope::Cell && at.cell == o.ran_cell);
+}
+
 // What has happened as far as the server goes, when its answer begins to be passed on.
 inline Outcome answered(const StreamOpened& e) {
   Outcome made;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -47,6 +47,7 @@
   egress::PoolOptions options;
   options.connect_timeout_ms = config.limits.connect_timeout_ms;
   options.idle_ms = 0.7 * config.limits.conn_idle_ms; // well before the target closes it
+  options.scarce_kind = config.settings.origin_kind;
   options.report_fields = config.names.report_fields;
   options.answers.ceiling = config.answer_bytes;
   const std::size_t each = kernel_bytes(config) / (places(config) / 2);
--- /dev/null
+++ b/tests/limits/places_test.cpp
@@ -0,0 +1,37 @@
+#include "limits/places.h"
+
+#include <doctest/doctest.h>
+
+using fernward::limits::Places;
+
+TEST_CASE(
+    "what was never refused has no bound; what was keeps to what was had, and tries one more after a wait") {
+  Places p;
+  CHECK(p.room(0, 1000));
+  p.refused(1000, 2, 100, 0.5);
+  CHECK(p.room(1000, 1));
+  CHECK_FALSE(p.room(1000, 2));
+  CHECK_FALSE(p.room(1099, 2));
+  CHECK(p.room(1100, 2)); // one response time later
+  p.refused(1100, 2, 100, 0.5);
+  CHECK_FALSE(p.room(1299, 2)); // twice that
+  CHECK(p.room(1300, 2));
+  for (double now = 2000; now < 60000; now += 2000) p.refused(now, 2, 100, 0.5);
+  p.refused(60000, 0, 100, 0.5); // the last of them are lost: no wait is longer than eight
+  CHECK_FALSE(p.room(60000, 0));
+  CHECK(p.room(60800, 0));
+}
+
+TEST_CASE("several that were refused together are one sign; a further one that was had ends the wait") {
+  Places p;
+  p.refused(1000, 3, 100, 0.5);
+  p.refused(1001, 2, 100, 0.5);
+  CHECK_FALSE(p.room(1050, 2));
+  CHECK(p.room(1100, 2));
+  p.had(4);
+  CHECK(p.most() == 4);
+  p.had(1); // tells nothing of the others
+  CHECK(p.most() == 4);
+  p.refused(2000, 4, 100, 0.5);
+  CHECK(p.room(2100, 4)); // from the shortest wait again
+}
--- a/tests/policy/day.h
+++ b/tests/policy/day.h
@@ -16,6 +16,7 @@
 struct Reply {
   Result result = Result::Ok;
   double after_ms = 20; // never: the connection fell silent
+  bool first = false;   // on its connection
 };
 constexpr double kSilent = 1e12;
 
@@ -109,10 +110,10 @@
     const Reply reply = script_(send.server, now, random_);
     const double limit = asked.at + settings_.classes[0].give_up_ms - now;
     queue_.emplace(now + std::min(reply.after_ms, limit), [this, id = send.id, attempt, reply, limit] {
-      end(id, attempt, reply.after_ms <= limit ? reply.result : Result::TimedOut);
+      end(id, attempt, reply.after_ms <= limit ? reply.result : Result::TimedOut, reply.first);
     });
   }
-  void end(RequestId id, std::uint32_t attempt, Result result) {
+  void end(RequestId id, std::uint32_t attempt, Result result, bool first = false) {
     Asked& asked = open_.at(id);
     if (!asked.out[attempt]) return;
     asked.out[attempt] = false;
@@ -120,6 +121,7 @@
     servers_.erase({id, attempt});
     --out_[server];
     Outcome e{id, attempt, server, result, now - sent_at, asked.over, {}, false};
+    e.first = first;
     if (result == Result::Ok && !asked.over) {
       asked.over = e.ended = true;
       ++(now <= asked.aim ? served : late);
