--- a/src/limits/places.h
+++ b/src/limits/places.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <limits>
+#include <utility>
 
 #include "numbers/numbers.h"
 
@@ -24,10 +25,15 @@
   bool room(double now, std::uint32_t out) const { return out < most_ || now >= again_at_; }
   double most() const { return most_; } // that were had at once; infinity: none was ever refused
 
+  // One goes out beside `out` others: where it needs a further connection it is a trial, and nothing else goes with it.
+  void sent(double now, std::uint32_t out) {
+    trial_ = out >= most_;
+    if (trial_) again_at_ = now + wait_ms_;
+  }
   // A further connection was refused while `out` others were in use; `draw`: evenly from 0 to 1, as all try again.
   void refused(double now, std::uint32_t out, double response_ms, double draw) {
     most_ = out;
-    if (now < again_at_) return; // one of several that went out together
+    if (!std::exchange(trial_, false) && now < again_at_) return; // one of several that went out together
     const double turn = std::max(response_ms, kLeastMs);
     wait_ms_ = std::clamp(2 * wait_ms_, turn, kMostTurns * turn);
     again_at_ = now + wait_ms_ * (0.5 + draw);
@@ -35,6 +41,7 @@
   // An answer came on one of `out` connections in use.
   void had(std::uint32_t out) {
     if (out <= most_) return;
+    trial_ = false;
     most_ = out;
     wait_ms_ = 0;
   }
@@ -42,6 +49,7 @@
  private:
   static constexpr double kLeastMs = 10, kMostTurns = 8;
   double most_ = std::numeric_limits<double>::infinity(), wait_ms_ = 0, again_at_ = kNever;
+  bool trial_ = false; // out, on a connection beyond those that were had
 };
 
 } // namespace fernward::limits
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -39,9 +39,8 @@
   std::vector<RequestId> done; // concluded with nothing out: dropped once the event is handled
   std::unordered_map<std::uint64_t, std::vector<RequestId>> fetches; // by key: who waits for the leader
   limits::Shedder shedder;
-  std::vector<double> tenant_rate; // requests a second here
-  double aim_ms = 3000;            // the shortest
-  double fleet_ms = 0;             // mean of the caches' response times
+  std::vector<double> tenant_rate;    // requests a second here
+  double aim_ms = 3000, fleet_ms = 0; // the shortest aim; mean of the caches' response times
   limits::Lateness cache_late, origin_late;
   double failing = 0;     // share of the caches' attempts that fail
   double fleet_queue = 0; // mean of the caches' reported queues
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -138,6 +138,7 @@
   o.attempts.push_back({r.entry.id, now});
   ++o.out;
   ++r.open;
+  if (is_origin(r)) origin_places.sent(now, r.working() - 1);
   is_origin(r) ? origin_limit.sent(now) : r.gate.sent(now);
   if (is_origin(r) && !o.in.write) places.pace().fetched(now);
   act(Send{o.in.id, r.entry.id, 0});
--- a/tests/limits/places_test.cpp
+++ b/tests/limits/places_test.cpp
@@ -22,6 +22,17 @@
   CHECK(p.room(60800, 0));
 }
 
+TEST_CASE("a trial goes alone") {
+  Places p;
+  p.refused(1000, 1, 100, 0.5);
+  REQUIRE(p.room(1100, 1));
+  p.sent(1100, 1);
+  CHECK_FALSE(p.room(1101, 2));
+  CHECK(p.room(1101, 0)); // what needs no further connection goes on
+  p.had(2);
+  CHECK(p.room(1150, 1));
+}
+
 TEST_CASE("several that were refused together are one sign; a further one that was had ends the wait") {
   Places p;
   p.refused(1000, 3, 100, 0.5);
