A spare connection at the ledger is given back after as long as its last request took

A ledger that holds 500 connections for 300 routers is full of those that rest: 508 to 516 open on join+mass 60733 from 2 s on, with some 150 requests out. One that rests beside another is kept for as long again as its last request took, in place of a second.

--- a/src/egress/pool.cpp
+++ b/src/egress/pool.cpp
@@ -114,6 +114,7 @@
   c.call = call;
   c.deadline = deadline;
   c.paused_ms = 0;
+  c.assigned_at = now_ms();
   c.first = c.served == 0;
   c.sent = true;
   by_attempt_[attempt] = c.self;
@@ -596,16 +597,16 @@
   make_free(c);
   c.rested_at = now_ms();
   const double hold = rests_.hold_ms(c.rested_at, c.target);
-  // Its place is one that other routers may want: this one has another that rests.
+  // Its place is one that other routers may want, and this one has another that rests.
   const bool scarce = static_cast<std::int64_t>(targets_.at(c.target).entry.kind) == options_.scarce_kind;
-  const bool spare = scarce && free_[c.target].size() > 1 && options_.spare_ms < hold;
-  c.ticket =
-      deadlines_.at(c.rested_at + (spare ? options_.spare_ms : hold), [this, handle = c.self, hold, spare] {
-        Connection* idle = connections_.find(handle);
-        if (idle == nullptr) return;
-        idle->ticket = 0;
-        close(*idle, spare ? "spare" : hold < options_.idle_ms ? "rested" : "idle");
-      });
+  const double used = c.rested_at - c.assigned_at;
+  const bool spare = scarce && free_[c.target].size() > 1 && used < hold;
+  c.ticket = deadlines_.at(c.rested_at + (spare ? used : hold), [this, handle = c.self, hold, spare] {
+    Connection* idle = connections_.find(handle);
+    if (idle == nullptr) return;
+    idle->ticket = 0;
+    close(*idle, spare ? "spare" : hold < options_.idle_ms ? "rested" : "idle");
+  });
 }
 
 void Pool::lose(Connection& c, Result result, const char* code) {
--- a/src/egress/pool.h
+++ b/src/egress/pool.h
@@ -25,9 +25,9 @@
   double connect_timeout_ms = 250;
   double idle_ms =
       10000; // an idle connection is closed after this, or sooner where its target is seen to do so
-  // One of a kind whose connections many routers share: those that rest beside another are closed after `spare_ms`. None: -1.
+  // Targets of this kind hold too few connections for all routers: one that rests beside another is kept for as long again
+  // as its last request took. -1: none.
   std::int64_t scarce_kind = -1;
-  double spare_ms = 1000;
   std::vector<std::string> report_fields;
   bodies::AnswerRules answers;
   double silent_ms =
@@ -80,7 +80,7 @@
     double written_at = 0;   // its head
     std::uint64_t taken = 0; // of a long body, bytes that had left this process when that was looked at
     double taken_at = 0;     // when it was last seen to take some
-    double deadline = 0, opened_at = 0, rested_at = 0;
+    double deadline = 0, opened_at = 0, assigned_at = 0, rested_at = 0;
     double rested_ms = -1; // before its present request; below 0: that is its first
     bool trial = false;    // it had rested longer than is believed safe
     bool first = true;     // its present request is the first
