A request that waits for a place at the ledger is tried again after one response time

The table of faults found it: waiting, turned away, given up 250 ms after its last attempt, as waits doubled and were looked at each 100 ms only. The same cells showed a second write sent before the first answer: with no response time known the pace was one attempt a millisecond; now one at a time goes out until the first answer.

--- a/src/config/fleet.cpp
+++ b/src/config/fleet.cpp
@@ -10,6 +10,10 @@
   file.need("peer_listen", fleet.listen);
   file.need("peers", fleet.peers);
   const Part settings = file.needed_part("settings");
+  bool may_tell = true;
+  settings.part("limits").read("may_tell", may_tell);
+  if (!may_tell)
+    throw Error("settings.limits.may_tell: is false: routers may not tell one another anything here");
   settings.count("me", fleet.self);
   sockaddr_in where{};
   if (!parse_address(fleet.listen, where))
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -51,6 +51,8 @@
 bool Limiter::room(double now, std::uint32_t out, bool write) const {
   const double held = out;
   if (write && held < kWriteTurn) return true;
+  // Before the first answer nothing tells how long a turn is, and so how quick a pace may be: one at a time.
+  if (recent_ms_ == 0 && limit_ < 2) return held < 1;
   const double mine = write ? kWriteShare * limit_ : limit_;
   const double whole = std::floor(mine);
   // What is left beyond whole attempts is a pace: rounded up it would add up to a crowd over many routers.
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -103,7 +103,7 @@
   if (o == nullptr || o->streaming) return;
   if (kind == Timer::End)
     conclude(*o, o->out > 0 ? Why::Unanswered : o->queued ? Why::QueuedLate : Why::Unsent);
-  if (kind == Timer::Again && o->out == 0 && !o->queued) to_origin(*o);
+  if (kind == Timer::Again && o->out == 0) o->queued ? pump_origin() : to_origin(*o);
   if (kind == Timer::Overdue) overdue(*o, (e.token >> 52) & 0xff);
 }
 
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -152,8 +152,9 @@
   }
   if (origin != nullptr && e.server == origin->entry.id) {
     // A fault, not crowding: there is nothing to wait for. Or a place, which the queue waits for.
-    if (e.result == Result::Error || e.result == Result::Reset || !origin_places.room(now, origin->working()))
-      return to_origin(o);
+    const double place_ms = origin_places.wait_ms(now, origin->working());
+    if (place_ms > 0) act(SetTimer{place_ms, token(Timer::Again, o.in.id)});
+    if (e.result == Result::Error || e.result == Result::Reset || place_ms > 0) return to_origin(o);
     if (!repeatable(o, *origin)) return conclude(o, Why::Class);
     const double wait = std::max(origin_limit.recent_ms(), set.tick_ms) * (0.5 + random.unit());
     if (now + wait >= o.end_at) return conclude(o, Why::QueuedLate); // to give up is to answer now
--- a/tests/peering/processes_test.cpp
+++ b/tests/peering/processes_test.cpp
@@ -430,6 +430,9 @@
   config["settings"]["me"] = 1;
   refused("", config, "settings.me: is 1, but there are 1 peers");
   config["settings"]["me"] = 0;
+  config["settings"]["limits"]["may_tell"] = false;
+  refused("", config, "settings.limits.may_tell: is false");
+  config["settings"]["limits"]["may_tell"] = true;
   config["peers"] = {"nowhere"};
   refused("", config, "peers[0]: \"nowhere\" is no address");
 }
