Read once more: what members and facts kept and nobody read is taken out

Cause: a reading of the whole change. The time of a member's last word, Facts::forget, the ages handed on with stamps and kMostMembers were written and never read; the fault for a file that can't be read stood twice in setup/. Behaviour and assertions stay. Built without a warning; nothing was measured, as nothing decides differently.

--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -194,13 +194,12 @@
   say({who, Standing::Suspect, m.stamp, by});
 }
 
-void Members::heard(double now, Id who, Stamp stamp, double age_ms) {
+void Members::heard(Id who, Stamp stamp) {
   if (who >= all_.size() || who == self_) return;
   Member& m = all_[who];
   if (stamp <= m.stamp) return;
   const bool news = m.standing != State::Alive;
   m.stamp = stamp;
-  m.heard_at = now - age_ms;
   set(who, State::Alive);
   if (news) say({who, Standing::Alive, stamp, self_});
 }
@@ -224,7 +223,7 @@
   }
   Member& m = all_[word.who];
   switch (word.standing) {
-    case Standing::Alive: return heard(now, word.who, word.stamp, 0);
+    case Standing::Alive: return heard(word.who, word.stamp);
     case Standing::Suspect:
     case Standing::Dead:
     case Standing::Left:
@@ -253,7 +252,7 @@
     if (d.stamp.incarnation != sender.stamp.incarnation) sender.stamp = {};
     sender.direct = d.stamp.incarnation;
   }
-  heard(now, from, d.stamp, 0);
+  heard(from, d.stamp);
   for (const Word& word : d.words) take(now, word);
   const auto mine = std::find_if(rounds_.begin(), rounds_.end(),
                                  [&](const Round& r) { return r.number == d.round && r.target == d.about; });
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -47,8 +47,8 @@
   double next() const { return next_; }
   // What has come, from the member that its address stands for. False: nothing of it was taken.
   bool take(double now, Id from, const Datagram& d, std::vector<Packet>& out);
-  // A stamp that came with a fact, made `age_ms` ago.
-  void heard(double now, Id who, Stamp stamp, double age_ms);
+  // A stamp that came with a fact.
+  void heard(Id who, Stamp stamp);
   void leave(std::vector<Packet>& out); // some are told; says nothing any more
 
   bool alive(Id who) const { return who == self_ || all_[who].standing <= State::Suspect; }
@@ -62,7 +62,6 @@
   struct Member {
     Stamp stamp;
     std::uint32_t direct = 0; // incarnation of its own last word
-    double heard_at = kNever; // when its stamp was made, at the latest
     double dies_at = 0;       // Suspect
     State standing = State::Alive;
     std::uint8_t agree = 0; // others that suspect it too
--- a/src/members/wire.h
+++ b/src/members/wire.h
@@ -26,7 +26,6 @@
 namespace fernward::members {
 
 constexpr std::size_t kMostBytes = 256; // of a datagram, by the protocol
-constexpr std::size_t kMostMembers = 65536;
 
 using Id = std::uint16_t; // a router's number in its tier
 
--- a/src/setup/fleet.cpp
+++ b/src/setup/fleet.cpp
@@ -1,6 +1,7 @@
 #include "setup/fleet.h"
 
 #include "notation/reader.h"
+#include "setup/read.h"
 
 namespace fernward::setup {
 namespace {
@@ -62,11 +63,7 @@
 FleetFile read_fleet_file(const std::string& path) {
   if (const auto text = notation::load_file(path)) return read_fleet(*text, path);
   FleetFile read;
-  notation::Fault& fault = read.faults.emplace_back();
-  fault.at.file = path;
-  fault.key = "(file)";
-  fault.why = "can't be read, or is over 1 MiB";
-  fault.code = "unreadable";
+  read.faults.push_back(unreadable(path));
   return read;
 }
 
--- a/src/setup/read.cpp
+++ b/src/setup/read.cpp
@@ -171,14 +171,19 @@
   return setup;
 }
 
-Setup read_file(const std::string& path, Environment environment) {
-  if (const auto text = notation::load_file(path)) return read(*text, path, environment);
-  Setup setup;
-  Fault& fault = setup.faults.emplace_back();
+notation::Fault unreadable(const std::string& path) {
+  Fault fault;
   fault.at.file = path;
   fault.key = "(file)";
   fault.why = "can't be read, or is over 1 MiB";
   fault.code = "unreadable";
+  return fault;
+}
+
+Setup read_file(const std::string& path, Environment environment) {
+  if (const auto text = notation::load_file(path)) return read(*text, path, environment);
+  Setup setup;
+  setup.faults.push_back(unreadable(path));
   return setup;
 }
 
--- a/src/setup/read.h
+++ b/src/setup/read.h
@@ -36,6 +36,8 @@
            const notation::Loader& load = notation::load_file);
 Setup read_file(const std::string& path, Environment environment);
 
+notation::Fault unreadable(const std::string& path); // the file can't be read
+
 // Where a member stands, or the table that it would stand in; else the top of the file.
 notation::Position place_of(const Setup& setup, std::string member, const std::string& file);
 
--- a/src/shared/facts.cpp
+++ b/src/shared/facts.cpp
@@ -105,14 +105,10 @@
     Values values{};
     if (length < kLength) continue; // of a version that says less: not enough to go by
     for (std::size_t i = 0; i < kFacts; ++i) values[i] = unscaled(get<std::uint16_t>(one, kHead + 2 * i));
-    if (merge(now, owner, stamp, age, values, owner == from)) told.push_back({owner, stamp, age});
+    if (merge(now, owner, stamp, age, values, owner == from)) told.push_back({owner, stamp});
   }
 }
 
-void Facts::forget(Id owner) {
-  if (owner < all_.size() && owner != self_) all_[owner] = {};
-}
-
 std::size_t Facts::heard(double now) const {
   std::size_t n = 0;
   for (const Entry& e : all_) n += e.known && &e != &all_[self_] && now - e.made_at < kQuantities[0].gone_ms;
--- a/src/shared/facts.h
+++ b/src/shared/facts.h
@@ -64,11 +64,9 @@
   struct Told {
     Id owner;
     Stamp stamp;
-    double age_ms;
   };
   // All of a datagram's facts from `from`; what was new is appended, for members. A damaged tail is passed over.
   void read(double now, Id from, std::string_view bytes, std::vector<Told>& told);
-  void forget(Id owner); // it is known to be gone
 
   // The mean over this router and all whose word is not gone, by age; none heard: its own value. Values over eight times
   // the median count as that: `most`.
--- a/src/shared/fleet.cpp
+++ b/src/shared/fleet.cpp
@@ -40,7 +40,7 @@
   ++counts_.taken;
   told_.clear();
   facts_.read(now, from, d->facts, told_);
-  for (const auto& t : told_) members_.heard(now, t.owner, t.stamp, t.age_ms);
+  for (const auto& t : told_) members_.heard(t.owner, t.stamp);
   send(now, out);
   return true;
 }
