Sharing and faults between routers in the lab, in virtual time and on sockets

routers.sharing (off by default) gives each router in virtual time a shared::Fleet, carried by the network's datagrams as src/peering/link.cpp carries them; on sockets the file is written and passed. New events cut-routers (datagrams alone or all messages, one or both ways), lose-datagrams, pause-routers (SIGSTOP; in virtual time what is due for the process waits), lying-router (false facts and accusations under valid checksums, the same code in both drivers). Datagrams and bytes a second and router stand in the report.

--- a/lab/check/checker.cpp
+++ b/lab/check/checker.cpp
@@ -373,12 +373,19 @@
       break;
     case RouterEvent::What::Ready:
     case RouterEvent::What::Reloaded: break;
+    case RouterEvent::What::Woke: // it reads what it was told meanwhile
+      for (MachineId m = 0; m < plan_.machines.size(); ++m) {
+        List& l = list(e.router, m);
+        if (l.at >= r.down_at) l.at = e.at;
+      }
+      [[fallthrough]];
     case RouterEvent::What::Returned:
       r.down = false;
       r.down_at = e.at; // what was taken in its silence may have been lost with the connection
       break;
     case RouterEvent::What::Killed:
     case RouterEvent::What::Silent:
+    case RouterEvent::What::Paused:
       r.down = true;
       r.down_at = e.at;
       break;
--- a/lab/check/checker.h
+++ b/lab/check/checker.h
@@ -163,6 +163,7 @@
   void on(const model::LoadSample& r) override { pass(r); }
   void on(const model::NodeEvent& r) override { pass(r); }
   void on(const model::RouterEvent& r) override { pass(r); }
+  void on(const model::Shared& r) override { pass(r); }
   void on(const model::Told& r) override { pass(r); }
   void on(const model::Mark& r) override { pass(r); }
   void on(const model::RouterLog& r) override { pass(r); }
--- a/lab/driver.h
+++ b/lab/driver.h
@@ -21,6 +21,7 @@
   double cpu_s = 0;          // virtual time: of its decisions alone
   double peak_memory_mb = 0; // 0: not measured
   std::uint32_t peak_sockets = 0;
+  std::uint64_t datagrams = 0, datagram_bytes = 0; // that it sent to others of its tier
 };
 
 // What a run cost and whether it counts. A run that is void says nothing about the routers.
--- a/lab/experiment/play.cpp
+++ b/lab/experiment/play.cpp
@@ -35,6 +35,9 @@
                        {"cpu_s", r.cpu_s},
                        {"peak_memory_mb", r.peak_memory_mb},
                        {"peak_sockets", r.peak_sockets}});
+    if (r.datagrams == 0) continue;
+    routers.back()["datagrams"] = r.datagrams;
+    routers.back()["datagram_bytes"] = r.datagram_bytes;
   }
   return {{"void", i.is_void},
           {"why_void", i.why_void},
@@ -65,7 +68,9 @@
   j.at("events").get_to(i.events);
   for (const json& r : j.at("routers")) {
     i.routers.push_back({r.at("router").get<model::RouterId>(), r.at("cpu_s").get<double>(),
-                         r.at("peak_memory_mb").get<double>(), r.at("peak_sockets").get<std::uint32_t>()});
+                         r.at("peak_memory_mb").get<double>(), r.at("peak_sockets").get<std::uint32_t>(),
+                         r.value("datagrams", std::uint64_t{0}),
+                         r.value("datagram_bytes", std::uint64_t{0})});
   }
   return i;
 }
--- a/lab/load/load.cpp
+++ b/lab/load/load.cpp
@@ -483,6 +483,14 @@
   });
 }
 
+void Load::router_pauses(RouterId router, bool on) {
+  loop_.post([this, router, on] {
+    if (!stage_.clock.begun()) return;
+    if (on) return front_.down(now(), router);
+    if (sides_[router].ready && network_.reachable(router)) front_.up(now(), router);
+  });
+}
+
 void Load::ask_ready(RouterId router) {
   Side& side = sides_[router];
   if (!side.runs || side.ready) return;
--- a/lab/load/load.h
+++ b/lab/load/load.h
@@ -45,11 +45,12 @@
   Load& operator=(const Load&) = delete;
 
   // From the thread that made it.
-  void open();                                  // the loop runs
-  void begin();                                 // the clock has begun: clients come
-  void router_started(model::RouterId router);  // it is asked whether it is ready
-  void router_stopping(model::RouterId router); // it was sent SIGTERM
-  void router_down(model::RouterId router);     // its process has ended
+  void open();                                         // the loop runs
+  void begin();                                        // the clock has begun: clients come
+  void router_started(model::RouterId router);         // it is asked whether it is ready
+  void router_stopping(model::RouterId router);        // it was sent SIGTERM
+  void router_down(model::RouterId router);            // its process has ended
+  void router_pauses(model::RouterId router, bool on); // it stands still, or goes on
   void finish(); // no further requests are drawn; those that are open end as they do
   LoadInfo stop();
 
--- a/lab/peers/datagrams.cpp
+++ b/lab/peers/datagrams.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 Datagrams::Datagrams(const Stage& stage, Loop& loop, model::Network& network)
-    : stage_(stage), loop_(loop), network_(network) {}
+    : stage_(stage), loop_(loop), network_(network), spoken_(stage.plan.routers.size()) {}
 
 Datagrams::~Datagrams() {
   for (Port& port : ports_) {
@@ -56,6 +56,11 @@
   event_add(port.reads.get(), nullptr);
 }
 
+void Datagrams::apply(const model::Step& step) {
+  if (const auto* lie = std::get_if<model::LieStep>(&step.what))
+    lab::lies::apply(liars_, *lie, stage_.plan.routers.size(), stage_.spec.seed);
+}
+
 void Datagrams::readable(int, short, void* port) {
   const auto* found = static_cast<const Port*>(port);
   found->all->read(*found);
@@ -66,12 +71,16 @@
   for (ssize_t got; (got = recv(port.fd, buffer.data(), buffer.size(), MSG_TRUNC)) >= 0;) {
     ++sent_;
     const auto size = static_cast<std::size_t>(got);
+    ++spoken_[port.owner].datagrams;
+    spoken_[port.owner].bytes += size;
     if (size > kMostBytes) {
       stage_.voids.add("router " + stage_.plan.routers[port.owner].name + " sent a datagram of " +
                        std::to_string(size) + " bytes; " + std::to_string(kMostBytes) + " are allowed");
       continue;
     }
-    const std::string bytes(buffer.data(), size);
+    std::string bytes(buffer.data(), size);
+    if (const auto liar = liars_.find(port.owner); liar != liars_.end())
+      bytes = liar->second.spoil(loop_.now(), bytes);
     if (!port.everybody) {
       carry(port.owner, port.other, bytes);
       continue;
@@ -83,7 +92,7 @@
 }
 
 void Datagrams::carry(RouterId from, RouterId to, const std::string& bytes) {
-  for (int copies = network_.twice() ? 2 : 1; copies > 0; --copies) {
+  for (int copies = network_.twice(from, to) ? 2 : 1; copies > 0; --copies) {
     const auto way = network_.datagram(from, to);
     if (!way || on_their_way_ >= kMostOnTheirWay) continue;
     ++on_their_way_;
--- a/lab/peers/datagrams.h
+++ b/lab/peers/datagrams.h
@@ -4,10 +4,12 @@
 // from the address that the peer's file names for the sender.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "lab/lies/liar.h"
 #include "lab/shared/loop.h"
 #include "lab/shared/stage.h"
 #include "model/network.h"
@@ -19,8 +21,13 @@
   Datagrams(const Stage& stage, Loop& loop, model::Network& network);
   ~Datagrams();
 
-  void open(); // throws std::runtime_error
+  void open();                         // throws std::runtime_error
+  void apply(const model::Step& step); // who lies from now on; what is lost and cut is the network's
   std::uint64_t sent() const { return sent_; }
+  struct Spoken {
+    std::uint64_t datagrams = 0, bytes = 0;
+  };
+  const std::vector<Spoken>& spoken() const { return spoken_; } // by router, what it sent
   std::uint64_t delivered() const { return delivered_; }
   std::size_t on_their_way() const { return on_their_way_; }
 
@@ -42,6 +49,8 @@
   const Stage& stage_;
   Loop& loop_;
   model::Network& network_;
+  std::map<model::RouterId, lab::lies::Liar> liars_; // that were ever told to lie
+  std::vector<Spoken> spoken_;
   std::vector<Port> ports_; // by owner and other, then one for everybody by owner
   std::uint64_t sent_ = 0, delivered_ = 0;
   std::size_t on_their_way_ = 0;
--- a/lab/peers/fleet.cpp
+++ b/lab/peers/fleet.cpp
@@ -63,6 +63,7 @@
   network_.apply(step);
   agents_.apply(step);
   machines_.apply(step);
+  datagrams_.apply(step);
 }
 
 void Fleet::happen(const model::Step& step) {
@@ -91,6 +92,7 @@
     info_.lateness_ms = machines_.lateness().quantiles();
     info_.attempts = machines_.arrived();
     info_.datagrams = datagrams_.delivered();
+    info_.spoken = datagrams_.spoken();
   }
   return info_;
 }
--- a/lab/peers/fleet.h
+++ b/lab/peers/fleet.h
@@ -16,6 +16,7 @@
   lab::Quantiles lateness_ms; // of answers against their due time
   double cpu_s = 0;
   std::uint64_t attempts = 0, datagrams = 0;
+  std::vector<Datagrams::Spoken> spoken; // by router
 };
 
 class Fleet {
--- a/lab/report/files.cpp
+++ b/lab/report/files.cpp
@@ -127,6 +127,15 @@
     print(out, "  routers      %.0f us of CPU a request; the lab sent 99%% within %.2f ms of their time\n",
           t.drawn > 0 ? cpu * 1e6 / static_cast<double>(t.drawn) : 0, r.info.lateness_ms.p99);
   }
+  double datagrams = 0, bytes = 0;
+  for (const RouterCost& c : r.info.routers) {
+    datagrams += static_cast<double>(c.datagrams), bytes += static_cast<double>(c.datagram_bytes);
+  }
+  if (datagrams > 0) {
+    const double each = static_cast<double>(r.info.routers.size()) * r.info.played_ms / 1000;
+    print(out, "  sharing      %.1f datagrams and %.0f bytes a second and router\n", datagrams / each,
+          bytes / each);
+  }
   out += "\n";
   for (const RuleFinding& f : r.findings.rules) {
     if (f.kept()) continue;
--- a/lab/rig/config.cpp
+++ b/lab/rig/config.cpp
@@ -131,6 +131,15 @@
           {"settings", settings_json(stage.spec, stage.plan, router)}};
 }
 
+std::string fleet_toml(const model::SharingSpec& sharing) {
+  const auto word = [](bool on) { return on ? "true" : "false"; };
+  char text[256];
+  std::snprintf(text, sizeof text,
+                "[members]\nperiod = \"%.0fms\"\nasked = %u\n\n[share]\nledger = %s\ncount = %s\n",
+                sharing.period_ms, sharing.asked, word(sharing.ledger), word(sharing.count));
+  return text;
+}
+
 std::string router_toml(const Stage& stage, RouterId router, std::uint32_t moves, std::uint64_t seed,
                         const std::string& runtime_folder) {
   const model::Spec& spec = stage.spec;
--- a/lab/rig/rig.cpp
+++ b/lab/rig/rig.cpp
@@ -219,6 +219,10 @@
     info.answer_lateness_ms = fleet.lateness_ms;
     info.load_cpu_s = load.cpu_s;
     info.routers = routers_.costs();
+    for (std::size_t r = 0; r < fleet.spoken.size(); ++r) {
+      info.routers[r].datagrams = fleet.spoken[r].datagrams;
+      info.routers[r].datagram_bytes = fleet.spoken[r].bytes;
+    }
     late(load.lateness_ms, "requests were sent");
     late(fleet.lateness_ms, "the stand-ins' answers were sent");
     info.why_void = voids_.all();
@@ -272,6 +276,9 @@
  public:
   explicit RigDriver(lab::RigOptions options) : options_(std::move(options)) {}
   lab::RunInfo run(const model::Spec& spec, model::Sink& sink, const lab::RunControl& control) override {
+    if (spec.routers.sharing.on && options_.role != lab::RouterRole::Platform)
+      throw std::runtime_error(
+          "routers.sharing: routers share where they are told by the platform's file alone");
     return Run(spec, sink, control, options_).play();
   }
 
--- a/lab/rig/routers.cpp
+++ b/lab/rig/routers.cpp
@@ -74,6 +74,13 @@
 // ---- start ----
 
 void Routers::start_all() {
+  const model::SharingSpec& sharing = stage_.spec.routers.sharing;
+  if (sharing.on) {
+    std::ofstream file(fleet_file(), std::ios::trunc);
+    file << fleet_toml(sharing);
+    file.close();
+    if (!file) stage_.voids.add("cannot write " + fleet_file());
+  }
   for (RouterId r = 0; r < routers_.size(); ++r) start(r);
   watch();
 }
@@ -98,7 +105,7 @@
   if (router.runs || ending_) return;
   const model::RouterPlace& place = stage_.plan.routers[r];
   router.runs = true;
-  router.ready = router.killed = router.asked_to_end = router.start_when_ended = false;
+  router.ready = router.killed = router.asked_to_end = router.start_when_ended = router.paused = false;
   router.start_after_ms = -1;
   router.pid = 0;
   ++router.life;
@@ -116,6 +123,7 @@
     start.command = options_.programs[r].command;
   } else if (options_.role == lab::RouterRole::Platform) {
     start.command = {options_.program, "serve"};
+    if (stage_.spec.routers.sharing.on) start.command.insert(start.command.end(), {"--fleet", fleet_file()});
   } else if (options_.role == lab::RouterRole::Application) {
     start.command = {options_.program, "serve", "--config", file};
   } else {
@@ -211,6 +219,15 @@
   load_.router_down(router.id);
 }
 
+// What comes meanwhile waits in the kernel, signals too.
+void Routers::pause(Router& router, bool on) {
+  if (!router.runs || router.killed || router.paused == on) return;
+  router.paused = on;
+  event(router.id, on ? RouterEvent::What::Paused : RouterEvent::What::Woke);
+  guardian_.signal(router.id, on ? SIGSTOP : SIGCONT);
+  load_.router_pauses(router.id, on);
+}
+
 void Routers::term(Router& router, double down_ms) {
   if (!router.runs || router.killed || router.asked_to_end) return;
   router.asked_to_end = true;
@@ -257,6 +274,8 @@
         if (!router.runs) return;
         event(what->router, RouterEvent::What::Reloaded);
         return guardian_.signal(what->router, SIGHUP);
+      case What::Pause:
+      case What::Wake: return pause(router, what->what == What::Pause);
       case What::Silence:
       case What::Return: return; // the net's doing
     }
@@ -265,7 +284,10 @@
 
 void Routers::end() {
   ending_ = true;
-  for (Router& router : routers_) term(router, -1);
+  for (Router& router : routers_) {
+    pause(router, false);
+    term(router, -1);
+  }
 }
 
 // ---- what they use ----
--- a/lab/rig/routers.h
+++ b/lab/rig/routers.h
@@ -41,7 +41,7 @@
   struct Router {
     pid_t pid = 0; // 0: not known yet
     bool runs = false, ready = false, ever_ready = false;
-    bool killed = false, asked_to_end = false;
+    bool killed = false, asked_to_end = false, paused = false;
     bool start_when_ended = false;
     double start_after_ms = -1; // of its end by SIGTERM; below 0: it stays away
     std::uint32_t life = 0;
@@ -62,6 +62,8 @@
   void ended(model::RouterId router, const ProgramNews& news);
   void step(const model::Step& step);
   void kill(Router& router);
+  void pause(Router& router, bool on);
+  std::string fleet_file() const { return directory_ + "/fleet.toml"; }
   void term(Router& router, double down_ms);
   void write_config(Router& router);
   void watch();
--- a/lab/scenario/schema.cpp
+++ b/lab/scenario/schema.cpp
@@ -25,6 +25,8 @@
 constexpr std::array kEnds{"kill", "term"};
 constexpr std::array kBad{"error",      "garbage",     "too-large",  "cut-off",
                           "never-ends", "early-close", "wrong-body", "slow-bytes"};
+constexpr std::array kCutWhat{"datagrams", "all"};
+constexpr std::array kClaims{"least", "most"};
 constexpr std::array kCountedBy{"request", "work"};
 constexpr std::array kMetrics{"service",
                               "worst-window",
@@ -41,10 +43,11 @@
                               "handshakes-per-request",
                               "recovery"};
 constexpr std::array kEvents{
-    "neighbour",      "start-nodes",  "drain-nodes", "kill-nodes",      "replace-nodes",  "restart-nodes",
-    "silent-nodes",   "cut-zones",    "cut-nodes",   "restart-routers", "reload-routers", "discovery-outage",
-    "discovery-move", "origin-stall", "origin-slow", "origin-fall",     "hot-key",        "load-spike",
-    "bad-answers",    "lost-zone",    "slow-link"};
+    "neighbour",      "start-nodes",      "drain-nodes",    "kill-nodes",    "replace-nodes",
+    "restart-nodes",  "silent-nodes",     "cut-zones",      "cut-nodes",     "restart-routers",
+    "reload-routers", "discovery-outage", "discovery-move", "origin-stall",  "origin-slow",
+    "origin-fall",    "hot-key",          "load-spike",     "bad-answers",   "lost-zone",
+    "slow-link",      "cut-routers",      "lose-datagrams", "pause-routers", "lying-router"};
 static_assert(kEvents.size() == std::variant_size_v<Happening>);
 
 // The unit of a bound's at_least and at_most.
@@ -196,6 +199,13 @@
   v.amount("over_share_worth", r.over_share_worth, Unit::Share,
            "of what a request beyond its quota is worth");
   pick(v, "weight_kind", r.weight_kind, kWeights, "what discovery's weights are");
+  v.enter("sharing", "what routers of the tier tell one another");
+  v.flag("on", r.sharing.on, "false: no datagram passes between them");
+  v.amount("period_ms", r.sharing.period_ms, Unit::Time, "one other router is pinged in each");
+  v.count("asked", r.sharing.asked, "others that are asked about one that does not answer, 8 at most");
+  v.flag("ledger", r.sharing.ledger, "the limit at the origin is dealt out by demand");
+  v.flag("count", r.sharing.count, "living routers count, in place of the configured number");
+  v.leave();
   v.enter("resize", "what routers do when the list changes");
   v.amount("settle_ms", r.resize.settle_ms, Unit::Time, "former owners are read for this long; 0: off");
   v.amount("ledger_multiple", r.resize.ledger_multiple, Unit::Number,
@@ -362,6 +372,34 @@
   v.amount("over_ms", e.over_ms, Unit::Time, "the batches are spread evenly over this time");
 }
 void fields(Visitor& v, ReloadRouters& e) { who(v, "who", e.who, kWhichRouters); }
+void fields(Visitor& v, CutRouters& e) {
+  who(v, "a", e.a, "nothing passes from these routers");
+  who(v, "b", e.b, "to these, of the others; without it all of them");
+  v.flag("one_way", e.one_way, "datagrams from b to a pass all the same");
+  pick(v, "carries", e.carries, kCutWhat,
+       "what does not pass: datagrams alone, or also what one side's routers and the machines of the other's "
+       "zones say");
+  until(v, e.until_ms);
+}
+void fields(Visitor& v, LoseDatagrams& e) {
+  who(v, "who", e.who, "routers whose datagrams are meant, sent or received; without it all");
+  v.amount("share", e.share, Unit::Share, "that is lost, on top of what the network loses");
+  v.amount("twice", e.twice, Unit::Share, "that comes twice");
+  until(v, e.until_ms);
+}
+void fields(Visitor& v, PauseRouters& e) {
+  who(v, "who", e.who, kWhichRouters);
+  until(v, e.until_ms);
+}
+void fields(Visitor& v, LyingRouter& e) {
+  who(v, "who", e.who, kWhichRouters);
+  pick(v, "demand", e.demand, kClaims,
+       "what it says that it wants of the origin: the least or the most there is");
+  pick(v, "limit", e.limit, kClaims, "and what its limit there is");
+  v.flag("of_others", e.of_others, "the same of others, as if they had said so later");
+  v.flag("accuses", e.accuses, "it says of living routers that they are dead");
+  until(v, e.until_ms);
+}
 void fields(Visitor& v, DiscoveryOutage& e) { until(v, e.until_ms); }
 void fields(Visitor& v, DiscoveryMove& e) {
   v.amount("old_stays_ms", e.old_stays_ms, Unit::Time, "how long the old address still answers");
--- a/lab/virtual/agenda.h
+++ b/lab/virtual/agenda.h
@@ -97,6 +97,8 @@
   ResetAtRouter,     // handle: link
   MachineCloses,     // handle: link, which the machine closes if it has rested so long
   ClosedAtRouter,    // handle: link: the machine closed it in good order
+  RouterRound,       // number: router, life: its next words to the others
+  DatagramAtRouter,  // number: router, handle: datagram
 };
 
 // What comes soon lies in a heap; what comes within seconds in buckets, as most of it (time-outs of what is
--- a/lab/virtual/router.cpp
+++ b/lab/virtual/router.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kReserved = 24;     // descriptors for all but client and egress connections
 constexpr double kIdleShare = 0.7;        // of the time after which the machine closes, as the settings say
+constexpr double kUnixMs = 1.7e12;        // of the wall's clock, as the run begins
 constexpr std::uint64_t kTimedShare = 16; // one decision in so many is timed
 
 std::size_t places(const model::Spec& spec) {
@@ -26,12 +27,13 @@
 double router_idle_ms(const model::Spec& spec) { return kIdleShare * spec.routers.conn_idle_ms; }
 
 Router::Router(const model::Spec& spec, const model::RouterPlace& place, const Machines& machines,
-               Surroundings& world)
+               std::size_t routers, Surroundings& world)
     : spec_(spec),
       place_(place),
       machines_(machines),
       world_(world),
       settings_(model::router_settings(spec, place.zone)),
+      routers_(routers),
       known_(machines.entries.size()),
       free_(machines.entries.size()),
       rests_(router_idle_ms(spec)),
@@ -49,11 +51,30 @@
   ++life_;
   stopping_ = stopped_ = false;
   list_index_ = 0;
-  balancer_ = std::make_unique<fernward::Balancer>(settings_, model::mix(spec_.seed, place_.id, life_));
+  const std::uint64_t seed = model::mix(spec_.seed, place_.id, life_);
+  balancer_ = std::make_unique<fernward::Balancer>(settings_, seed);
+  const model::SharingSpec& sharing = spec_.routers.sharing;
+  if (!sharing.on) return;
+  heard_ = false;
+  fleet_ = std::make_unique<shared::Fleet>(static_cast<shared::Id>(place_.id), routers_,
+                                           shared::incarnation_at(kUnixMs + now()),
+                                           members::Rules{sharing.period_ms, sharing.asked}, seed);
+  // Processes that start as the run begins did not start at one moment.
+  const double first = life_ > 1 ? 0 : sharing.period_ms * static_cast<double>(seed % 1024) / 1024;
+  world_.at(now() + first, Due::RouterRound, place_.id, 0, life_);
+}
+
+void Router::wind_down() {
+  stopping_ = true;
+  if (fleet_ == nullptr) return;
+  fleet_->leave(now(), out_);
+  speak();
+  fleet_.reset();
 }
 
 void Router::die() {
   balancer_.reset();
+  fleet_.reset();
   events_.clear();
   door_.clear();
   stopping_ = stopped_ = false;
@@ -67,6 +88,46 @@
 
 void Router::stop_accepting() { stopped_ = true; }
 
+// ---- what happens: other routers (as src/peering/link.cpp) ----
+
+void Router::round() {
+  if (fleet_ == nullptr) return;
+  const fernward::Balancer::Ledger ledger = balancer_->ledger();
+  fleet_->tick(now(), {ledger.demand, ledger.limit}, out_);
+  speak();
+  word();
+  world_.at(fleet_->next(), Due::RouterRound, place_.id, 0, life_);
+}
+
+void Router::datagram(model::RouterId from, const std::string& bytes) {
+  if (fleet_ == nullptr) return;
+  fleet_->take(now(), static_cast<shared::Id>(from), bytes, out_);
+  speak();
+  if (heard_) return;
+  heard_ = fleet_->view(now()).heard > 0;
+  if (heard_) word(); // one that comes back need not wait for the next round
+}
+
+void Router::speak() {
+  for (shared::Fleet::Out& out : out_) world_.datagram(place_.id, out.to, std::move(out.bytes));
+  out_.clear();
+}
+
+void Router::word() {
+  const shared::View view = fleet_->view(now());
+  const model::SharingSpec& sharing = spec_.routers.sharing;
+  enqueue(fernward::FleetWord{sharing.count ? view.living : 0, sharing.ledger ? view.ledger_part : 0});
+  pump();
+}
+
+std::optional<model::Shared> Router::shared() {
+  if (fleet_ == nullptr) return std::nullopt;
+  const shared::View view = fleet_->view(now());
+  const fernward::Balancer::Ledger ledger = balancer_->ledger();
+  return model::Shared{now(),         place_.id,    view.living,     view.heard,
+                       ledger.demand, ledger.limit, view.ledger_part};
+}
+
 // ---- what happens: clients ----
 
 void Router::request(Handle client, const model::TryStart& start) {
--- a/lab/virtual/router.h
+++ b/lab/virtual/router.h
@@ -20,6 +20,8 @@
 #include "model/clients.h"
 #include "model/discovery.h"
 #include "model/plan.h"
+#include "model/record.h"
+#include "shared/fleet.h"
 
 namespace fernward::lab {
 
@@ -80,6 +82,7 @@
   virtual bool waits(Handle client) = 0; // it has not given up
   virtual void taken(Handle client, Handle exchange) = 0;
   virtual void log(model::RouterId router, const char* text) = 0;
+  virtual void datagram(model::RouterId from, model::RouterId to, std::string bytes) = 0;
   virtual Table<Link>& links() = 0;
   virtual Table<Exchange>& exchanges() = 0;
   virtual Table<RouterAttempt>& attempts() = 0;
@@ -88,7 +91,7 @@
 class Router {
  public:
   Router(const model::Spec& spec, const model::RouterPlace& place, const Machines& machines,
-         Surroundings& world);
+         std::size_t routers, Surroundings& world);
 
   bool runs() const { return balancer_ != nullptr; }
   bool accepts() const { return runs() && !stopped_; } // new connections
@@ -100,7 +103,7 @@
   void start();
   void die();            // its exchanges, attempts and links are gone; the caller tells the other ends
   void stop_accepting(); // some time after SIGTERM
-  void wind_down() { stopping_ = true; }
+  void wind_down();      // SIGTERM
   bool finished() const { return stopped_ && unanswered_ == 0 && door_.empty(); }
 
   // ---- what happens ----
@@ -117,6 +120,8 @@
   void guard(Handle exchange);
   void timer(std::uint64_t token);
   void rested(Handle link, std::uint32_t rest);
+  void round(); // of what routers share
+  void datagram(model::RouterId from, const std::string& bytes);
 
   // ---- for records and others ----
   std::uint64_t list_index() const { return list_index_; } // 0: none since its start
@@ -128,6 +133,7 @@
   double cpu_s() const { return cpu_s_; }
   std::size_t peak_links() const { return peak_links_; }
   std::uint64_t decisions() const { return decisions_; }
+  std::optional<model::Shared> shared(); // none: it shares nothing
 
  private:
   void enqueue(fernward::Event event) { events_.push_back(std::move(event)); }
@@ -152,6 +158,8 @@
   void close_link(Handle link, Link& l);
   void close_free(model::MachineId machine);
   double now() const { return world_.now(); }
+  void speak(); // what fleet_ has to say
+  void word();  // what follows from it for the balancer
 
   const model::Spec& spec_;
   const model::RouterPlace place_;
@@ -165,6 +173,10 @@
   std::vector<fernward::Action> actions_;
   bool pumping_ = false;
   bool stopping_ = false, stopped_ = false;
+  const std::size_t routers_; // of the tier
+  std::unique_ptr<shared::Fleet> fleet_;
+  std::vector<shared::Fleet::Out> out_;
+  bool heard_ = false;                    // anybody, since its start
   std::size_t unanswered_ = 0, open_ = 0; // exchanges: without an answer; in the table
   struct Waiting {
     Handle client;
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -60,6 +60,8 @@
       places_(plan_.machines.size()),
       kept_(plan_.routers.size()),
       down_ms_(plan_.routers.size(), -1),
+      pauses_(plan_.routers.size()),
+      spoken_(plan_.routers.size()),
       moved_(plan_.routers.size()),
       clients_wake_(kForever),
       discovery_wake_(kForever) {
@@ -73,7 +75,7 @@
     places_[m.id].wakes_at = kForever;
   }
   for (const model::RouterPlace& r : plan_.routers) {
-    routers_.push_back(std::make_unique<Router>(spec_, r, machines_, *this));
+    routers_.push_back(std::make_unique<Router>(spec_, r, machines_, plan_.routers.size(), *this));
   }
 }
 
@@ -103,7 +105,7 @@
   }
   info.played_ms = now_;
   for (RouterId r = 0; r < routers_.size(); ++r) {
-    RouterCost cost;
+    RouterCost cost = spoken_[r];
     cost.router = r;
     cost.cpu_s = routers_[r]->cpu_s();
     cost.peak_sockets = static_cast<std::uint32_t>(routers_[r]->peak_links());
@@ -135,6 +137,7 @@
 }
 
 void World::work_off(const Agenda::Entry& due) {
+  if (waits_for_router(due)) return;
   const bool alive = due.number < routers_.size() && routers_[due.number]->life() == due.life &&
                      routers_[due.number]->runs();
   switch (due.what()) {
@@ -219,6 +222,10 @@
     case Due::AnswerAtRouter: return answer_at_router(due.handle);
     case Due::CloseAtMachine: return close_at_machine(due.handle);
     case Due::ResetAtRouter: return reset_at_router(due.handle);
+    case Due::RouterRound:
+      if (alive) routers_[due.number]->round();
+      break;
+    case Due::DatagramAtRouter: return datagram_at_router(due.handle);
   }
   if (due.number < routers_.size()) check_end(due.number);
 }
@@ -250,6 +257,8 @@
     station_acts(plan_.origin);
   } else if (const auto* zone = std::get_if<model::ZoneStep>(&step.what)) {
     front_.zone(zone->zone, zone->what);
+  } else if (const auto* lie = std::get_if<model::LieStep>(&step.what)) {
+    lies::apply(liars_, *lie, plan_.routers.size(), spec_.seed);
   } else if (const auto* mark = std::get_if<model::MarkStep>(&step.what)) {
     sink_.on(model::Mark{now_, mark->event, mark->begins});
   }
@@ -261,6 +270,9 @@
     station_acts(m);
     if (stations_[m]->phase() != model::Phase::Off) sink_.on(stations_[m]->sample(now_));
   }
+  for (const auto& router : routers_) {
+    if (const auto shared = router->shared()) sink_.on(*shared);
+  }
   at(now_ + kSampleMs, Due::Sample, 0, 0, 0);
 }
 
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <limits>
+#include <map>
 #include <memory>
 #include <vector>
 
 #include "lab/driver.h"
+#include "lab/lies/liar.h"
 #include "lab/virtual/agenda.h"
 #include "lab/virtual/router.h"
 #include "model/arrivals.h"
@@ -42,6 +44,7 @@
   bool waits(Handle client) override;
   void taken(Handle client, Handle exchange) override;
   void log(model::RouterId router, const char* text) override;
+  void datagram(model::RouterId from, model::RouterId to, std::string bytes) override;
   Table<Link>& links() override { return links_; }
   Table<Exchange>& exchanges() override { return exchanges_; }
   Table<RouterAttempt>& attempts() override { return attempts_; }
@@ -70,6 +73,15 @@
     Router::Ends ends = Router::Ends::KeepsLink;
     std::vector<float> report;
   };
+  struct Datagram {
+    model::RouterId from = 0, to = 0;
+    std::string bytes;
+  };
+  struct Pause { // of a router's process
+    bool on = false;
+    std::vector<Agenda::Entry> due;         // what waits for it, in order
+    std::vector<model::RouterStep> signals; // the same
+  };
   struct Place { // a machine's present state, beside its station
     std::uint32_t life = 0;
     double started_at = -1;
@@ -98,6 +110,10 @@
   void router_starts(model::RouterId router);
   void router_dies(model::RouterId router, model::RouterEvent::What how);
   void check_end(model::RouterId router);
+  bool waits_for_router(const Agenda::Entry& due);
+  void pause(model::RouterId router);
+  void wake(model::RouterId router);
+  void datagram_at_router(Handle datagram);
   void tell(model::RouterId router);
   bool hears_discovery(model::RouterId router) const;
   void discovery();
@@ -150,7 +166,11 @@
   std::vector<std::unique_ptr<Router>> routers_;
   std::vector<std::uint32_t> kept_; // clients' connections at rest, by router
   std::vector<double> down_ms_;     // of a router that is to end: until it is started again; below 0: never
-  std::vector<char> moved_;         // routers that follow discovery at its new address
+  std::vector<Pause> pauses_;       // by router
+  Table<Datagram> datagrams_;
+  std::map<model::RouterId, lies::Liar> liars_;     // that were ever told to lie
+  std::vector<RouterCost> spoken_;                  // by router: its datagrams
+  std::vector<char> moved_;                         // routers that follow discovery at its new address
   std::unordered_map<model::TryId, Handle> by_try_; // those whose client still waits
   std::optional<model::Drawn> next_;
   model::Acts acts_;
--- a/lab/virtual/world_routers.cpp
+++ b/lab/virtual/world_routers.cpp
@@ -50,10 +50,18 @@
 void World::router_step(const model::RouterStep& step) {
   using What = model::RouterStep::What;
   Router& router = *routers_[step.router];
+  if (pauses_[step.router].on && (step.what == What::Term || step.what == What::Reload)) {
+    pauses_[step.router].signals.push_back(step); // delivered as it goes on
+    return;
+  }
   switch (step.what) {
     case What::Kill:
       if (router.runs()) router_dies(step.router, RouterEvent::What::Killed);
       return;
+    case What::Pause:
+      if (router.runs()) pause(step.router);
+      return;
+    case What::Wake: return wake(step.router);
     case What::Term:
       if (!router.runs() || router.stopping()) return;
       event(step.router, RouterEvent::What::Term);
@@ -77,7 +85,7 @@
       event(step.router, RouterEvent::What::Returned);
       free_ways();
       tell(step.router);
-      if (router.ready()) front_.up(now_, step.router);
+      if (router.ready() && !pauses_[step.router].on) front_.up(now_, step.router);
       return;
   }
 }
@@ -90,6 +98,8 @@
 
 // Its process is gone: connections reset on both sides.
 void World::router_dies(RouterId router, RouterEvent::What how) {
+  pauses_[router].on = false;
+  pauses_[router].signals.clear();
   event(router, how);
   routers_[router]->die();
   front_.down(now_, router);
@@ -118,13 +128,89 @@
     l.attempt = 0;
     close(link);
   });
+  // What waited for a process that stood still meets what is there now: nothing.
+  for (const Agenda::Entry& due : std::exchange(pauses_[router].due, {})) work_off(due);
   const double down = std::exchange(down_ms_[router], -1);
   if (how == RouterEvent::What::Ended && down >= 0)
     at(now_ + down + kStartMs, Due::RouterStart, router, 0, 0);
 }
 
+// ---- pauses ----
+
+// The process stands still: its kernel goes on to take what comes, and it is all there when the process goes on.
+void World::pause(RouterId router) {
+  if (pauses_[router].on) return;
+  pauses_[router].on = true;
+  event(router, RouterEvent::What::Paused);
+  front_.down(now_, router); // it asks whether the router is ready, and hears nothing
+}
+
+void World::wake(RouterId router) {
+  Pause& pause = pauses_[router];
+  if (!pause.on) return;
+  pause.on = false;
+  event(router, RouterEvent::What::Woke);
+  tell(router);
+  if (routers_[router]->ready() && network_.reachable(router)) front_.up(now_, router);
+  for (const Agenda::Entry& due : std::exchange(pause.due, {})) {
+    if (means_something(due)) work_off(due);
+  }
+  for (const model::RouterStep& signal : std::exchange(pause.signals, {})) router_step(signal);
+}
+
+// True: it is for a process that stands still, and is kept.
+bool World::waits_for_router(const Agenda::Entry& due) {
+  switch (due.what()) {
+    case Due::RequestAtRouter:
+    case Due::GoneAtRouter:
+    case Due::RouterTimer:
+    case Due::RouterStops:
+    case Due::RouterEnds:
+    case Due::LinkRested:
+    case Due::Guard:
+    case Due::AttemptTimeout:
+    case Due::ConnectedAtRouter:
+    case Due::RefusedAtRouter:
+    case Due::ConnectTimeout:
+    case Due::AnswerAtRouter:
+    case Due::ResetAtRouter:
+    case Due::ClosedAtRouter:
+    case Due::RouterRound:
+    case Due::DatagramAtRouter: break;
+    default: return false;
+  }
+  if (!pauses_[due.number].on) return false;
+  pauses_[due.number].due.push_back(due);
+  return true;
+}
+
+// ---- datagrams ----
+
+void World::datagram(RouterId from, RouterId to, std::string bytes) {
+  ++spoken_[from].datagrams;
+  spoken_[from].datagram_bytes += bytes.size();
+  if (const auto liar = liars_.find(from); liar != liars_.end()) bytes = liar->second.spoil(now_, bytes);
+  for (int copies = network_.twice(from, to) ? 2 : 1; copies > 0; --copies) {
+    const auto way = network_.datagram(from, to);
+    if (!way) continue;
+    const Handle handle = datagrams_.add();
+    *datagrams_.find(handle) = {from, to, bytes};
+    at(now_ + *way, Due::DatagramAtRouter, to, handle, 0);
+  }
+}
+
+void World::datagram_at_router(Handle handle) {
+  Datagram* found = datagrams_.find(handle);
+  if (found == nullptr) return;
+  const Datagram d = std::move(*found);
+  datagrams_.remove(handle);
+  if (!network_.routers_pass(d.from, d.to) || !routers_[d.to]->runs()) return;
+  routers_[d.to]->datagram(d.from, d.bytes);
+  check_end(d.to);
+}
+
 bool World::hears_discovery(RouterId router) const {
-  return routers_[router]->runs() && !discovery_down_ && network_.reachable(router) &&
+  return routers_[router]->runs() && !pauses_[router].on && !discovery_down_ && network_.reachable(router) &&
          !(old_ended_ && !moved_[router]);
 }
 
--- a/src/model/network.cpp
+++ b/src/model/network.cpp
@@ -39,6 +39,9 @@
   } else if (const auto* cut = std::get_if<CutStep>(&step.what)) {
     std::erase_if(cuts_, [&](const CutStep& c) { return c.cut == cut->cut; });
     if (cut->on) cuts_.push_back(*cut);
+  } else if (const auto* loss = std::get_if<LossStep>(&step.what)) {
+    std::erase_if(losses_, [&](const LossStep& l) { return l.number == loss->number; });
+    if (loss->on) losses_.push_back(*loss);
   } else if (const auto* node = std::get_if<NodeStep>(&step.what)) {
     if (node->what == NodeStep::What::Silence) silent_machines_[node->machine] = 1;
     if (node->what == NodeStep::What::Return) silent_machines_[node->machine] = 0;
@@ -58,12 +61,23 @@
 }
 
 std::optional<double> Network::datagram(RouterId from, RouterId to) {
-  if (!routers_pass(from, to) || draw_chance(spec_.datagram_loss, datagrams_)) return std::nullopt;
+  const double lost = 1 - spared(spec_.datagram_loss, &LossStep::share, from, to);
+  if (!routers_pass(from, to) || draw_chance(lost, datagrams_)) return std::nullopt;
   return base(router_zone_[from], router_zone_[to]) +
          draw_uniform(spec_.datagram_min_ms, spec_.datagram_max_ms, datagrams_);
 }
 
-bool Network::twice() { return draw_chance(spec_.datagram_twice, copies_); }
+bool Network::twice(RouterId from, RouterId to) {
+  return draw_chance(1 - spared(spec_.datagram_twice, &LossStep::twice, from, to), copies_);
+}
+
+double Network::spared(double own, double LossStep::*share, RouterId from, RouterId to) const {
+  double left = 1 - own;
+  for (const LossStep& l : losses_) {
+    if (has(l.routers, from) || has(l.routers, to)) left *= 1 - l.*share;
+  }
+  return left;
+}
 
 bool Network::passes(RouterId router, MachineId machine) const {
   if (silent_routers_[router] || silent_machines_[machine]) return false;
@@ -80,7 +94,7 @@
   if (silent_routers_[from] || silent_routers_[to]) return false;
   for (const CutStep& c : cuts_) {
     if ((has(c.routers_a, from) && has(c.routers_b, to)) ||
-        (has(c.routers_b, from) && has(c.routers_a, to))) {
+        (!c.one_way && has(c.routers_b, from) && has(c.routers_a, to))) {
       return false;
     }
   }
--- a/src/model/network.h
+++ b/src/model/network.h
@@ -21,7 +21,7 @@
   double with_client(std::uint32_t client_zone, std::uint32_t router_zone);
   // A datagram between two routers; none: it is lost.
   std::optional<double> datagram(RouterId from, RouterId to);
-  bool twice(); // is the next datagram to be carried twice?
+  bool twice(RouterId from, RouterId to); // is the next datagram to be carried twice?
 
   // Do messages pass? Neither is silent and no cut lies between them.
   bool passes(RouterId router, MachineId machine) const;
@@ -30,6 +30,8 @@
   bool reachable(RouterId router) const { return !silent_routers_[router]; } // for clients and discovery
 
  private:
+  // What is left to chance once the network's own share and each loss that is on have had theirs.
+  double spared(double own, double LossStep::*share, RouterId from, RouterId to) const;
   double base(std::uint32_t from, std::uint32_t to) const { return delay_[from * zones_ + to]; }
 
   NetworkSpec spec_;
@@ -38,6 +40,7 @@
   std::vector<std::uint32_t> machine_zone_, router_zone_;
   std::vector<char> silent_machines_, silent_routers_;
   std::vector<CutStep> cuts_; // that are on
+  std::vector<LossStep> losses_;
   Engine jitter_, datagrams_, copies_;
 };
 
--- a/src/model/plan.cpp
+++ b/src/model/plan.cpp
@@ -133,9 +133,10 @@
     }
     return part_of(std::move(all), who.count, who.share, who.random);
   }
-  std::vector<RouterId> pick(const RouterPick& who) {
+  std::vector<RouterId> pick(const RouterPick& who, const std::vector<RouterId>& but = {}) {
     std::vector<RouterId> all;
     for (const RouterPlace& r : plan_.routers) {
+      if (std::find(but.begin(), but.end(), r.id) != but.end()) continue;
       if (!who.routers.empty() &&
           std::find(who.routers.begin(), who.routers.end(), r.id) == who.routers.end()) {
         continue;
@@ -255,12 +256,47 @@
     cut.routers_b = pick(c.routers);
     spell(at, std::move(cut), c.until_ms);
   }
+  void happen(double at, const CutRouters& c) {
+    CutStep cut;
+    cut.one_way = c.one_way;
+    cut.routers_a = pick(c.a);
+    cut.routers_b = pick(c.b, cut.routers_a);
+    if (c.carries == CutWhat::All) {
+      const auto stand_in = [this](const std::vector<RouterId>& routers, std::uint32_t zone) {
+        return std::any_of(routers.begin(), routers.end(),
+                           [&](RouterId r) { return plan_.routers[r].zone == zone; });
+      };
+      for (const Machine& m : plan_.machines) {
+        const bool a = stand_in(cut.routers_a, m.zone), b = stand_in(cut.routers_b, m.zone);
+        if (a && !b) cut.machines_a.push_back(m.id);
+        if (b && !a) cut.machines_b.push_back(m.id);
+      }
+    }
+    spell(at, std::move(cut), c.until_ms);
+  }
   void spell(double at, CutStep cut, double until) {
     until_ = end_of(until);
     cut.cut = number_;
     cut.on = true;
     step(at, cut);
-    if (until > 0) step(until_, CutStep{number_, false, {}, {}, {}, {}});
+    if (until > 0) step(until_, CutStep{number_, false, {}, {}, {}, {}, false});
+  }
+  void happen(double at, const LoseDatagrams& l) {
+    until_ = end_of(l.until_ms);
+    step(at, LossStep{number_, true, l.share, l.twice, pick(l.who)});
+    if (l.until_ms > 0) step(until_, LossStep{number_, false, 0, 0, {}});
+  }
+  void happen(double at, const PauseRouters& p) {
+    until_ = end_of(p.until_ms);
+    for (const RouterId id : pick(p.who)) {
+      step(at, RouterStep{id, RouterStep::What::Pause, 0});
+      if (p.until_ms > 0) step(until_, RouterStep{id, RouterStep::What::Wake, 0});
+    }
+  }
+  void happen(double at, const LyingRouter& l) {
+    until_ = end_of(l.until_ms);
+    step(at, LieStep{number_, true, l, pick(l.who)});
+    if (l.until_ms > 0) step(until_, LieStep{number_, false, {}, {}});
   }
   void happen(double at, const RestartRouters& r) {
     const auto who = pick(r.who);
--- a/src/model/plan.h
+++ b/src/model/plan.h
@@ -42,7 +42,7 @@
   BadAnswer kind = BadAnswer::Error; // Bad
 };
 struct RouterStep {
-  enum class What { Kill, Term, Start, Reload, Silence, Return };
+  enum class What { Kill, Term, Start, Reload, Silence, Return, Pause, Wake };
   RouterId router = 0;
   What what = What::Kill;
   double down_ms =
@@ -53,6 +53,19 @@
   bool on = false;
   std::vector<MachineId> machines_a, machines_b;
   std::vector<RouterId> routers_a, routers_b;
+  bool one_way = false; // from `a` to `b`, between routers
+};
+struct LossStep { // of the datagrams that these routers send or get, while it is on
+  std::uint32_t number = 0;
+  bool on = false;
+  double share = 0, twice = 0;
+  std::vector<RouterId> routers;
+};
+struct LieStep { // what the routers' datagrams say is made false while it is on
+  std::uint32_t number = 0;
+  bool on = false;
+  LyingRouter how;
+  std::vector<RouterId> routers;
 };
 struct LinkStep { // the delay between two zones is this times its usual
   std::uint32_t from = 0, to = 0;
@@ -79,7 +92,9 @@
 
 struct Step {
   double at_ms = 0;
-  std::variant<NodeStep, RouterStep, CutStep, LinkStep, DiscoveryStep, OriginStep, ZoneStep, MarkStep> what;
+  std::variant<NodeStep, RouterStep, CutStep, LinkStep, DiscoveryStep, OriginStep, ZoneStep, MarkStep,
+               LossStep, LieStep>
+      what;
 };
 
 // Known before the run, as arrivals are drawn ahead.
--- a/src/model/record.h
+++ b/src/model/record.h
@@ -163,12 +163,21 @@
 // ---- routers and the fleet ----
 
 struct RouterEvent {
-  enum class What { Started, Ready, Term, Killed, Ended, Crashed, Reloaded, Silent, Returned };
+  enum class What { Started, Ready, Term, Killed, Ended, Crashed, Reloaded, Silent, Returned, Paused, Woke };
   double at = 0;
   RouterId router = 0;
   What what = What::Started;
 };
 
+// What a router that shares says and holds, once a second; virtual time alone: on sockets its log and figures have it.
+struct Shared {
+  double at = 0;
+  RouterId router = 0;
+  double living = 0, heard = 0; // routers; those others whose word counts now
+  double demand = 0, limit = 0; // of its own, at the origin
+  double part = 0;              // that follows from what is shared; 0: nothing does
+};
+
 struct Told { // discovery wrote this to the router; Cached: it started with it
   double at = 0;
   RouterId router = 0;
@@ -205,6 +214,7 @@
   virtual void on(const LoadSample&) {}
   virtual void on(const NodeEvent&) {}
   virtual void on(const RouterEvent&) {}
+  virtual void on(const Shared&) {}
   virtual void on(const Told&) {}
   virtual void on(const Mark&) {}
   virtual void on(const RouterLog&) {}
--- a/src/model/spec.cpp
+++ b/src/model/spec.cpp
@@ -173,6 +173,10 @@
     amount("routers.grace_to_answer_ms", r.grace_to_answer_ms);
     amount("routers.drain_grace_ms", r.drain_grace_ms);
     share("routers.over_share_worth", r.over_share_worth);
+    const SharingSpec& s = r.sharing;
+    if (!(s.period_ms >= 50 && s.period_ms <= 5000))
+      fault("routers.sharing.period_ms", "must be from 50 ms to 5 s");
+    if (s.asked > 8) fault("routers.sharing.asked", "must be 8 or less");
   }
 
   void rest() {
@@ -267,6 +271,11 @@
     share(at + ".share", who.share);
   }
 
+  void need_sharing(const std::string& path) {
+    if (!spec_.routers.sharing.on)
+      fault(path, "no datagram passes between routers while routers.sharing.on is false");
+  }
+
   void event(std::size_t i, const TimedEvent& e) {
     const EventPath path{*this, i};
     amount(path("at_ms"), e.at_ms);
@@ -298,6 +307,18 @@
           } else if constexpr (std::is_same_v<T, CutNodes>) {
             picks(path, what.nodes, "nodes");
             picks(path, what.routers, "routers");
+          } else if constexpr (std::is_same_v<T, CutRouters>) {
+            picks(path, what.a, "a");
+            picks(path, what.b, "b");
+            if (what.carries == CutWhat::Datagrams) need_sharing(path("carries"));
+            // A connection whose one way is dead has no answers either.
+            if (what.carries == CutWhat::All && what.one_way)
+              fault(path("one_way"), "connections have no single way: a cut of all messages goes both ways");
+          } else if constexpr (std::is_same_v<T, LoseDatagrams>) {
+            share(path("twice"), what.twice);
+            need_sharing(path("what"));
+          } else if constexpr (std::is_same_v<T, LyingRouter>) {
+            need_sharing(path("what"));
           } else if constexpr (std::is_same_v<T, DiscoveryMove>) {
             amount(path("old_stays_ms"), what.old_stays_ms);
             amount(path("reload_after_ms"), what.reload_after_ms);
--- a/src/model/spec.h
+++ b/src/model/spec.h
@@ -135,8 +135,18 @@
   std::uint32_t count = 1;
 };
 
+// What routers tell one another (docs/operators/fleet.md). Off: no datagram passes between them.
+struct SharingSpec {
+  bool on = false;
+  double period_ms = 250;  // one ping in each
+  std::uint32_t asked = 3; // others that are asked about one that does not answer
+  bool ledger = true;      // the limit at the origin, dealt out by demand
+  bool count = true;       // living routers in place of the configured number, where that is safe
+};
+
 struct RouterSpec {
   std::vector<RouterGroup> groups;
+  SharingSpec sharing;
   std::uint32_t sockets = 1024, memory_mb = 192;
   double cores = 1;
   // What becomes the routers' settings. Classes, tenants, zones, kinds and reports come from the rest.
@@ -299,6 +309,33 @@
 struct ReloadRouters {
   RouterPick who;
 }; // SIGHUP
+enum class CutWhat {
+  Datagrams, // between routers
+  All // these, and what passes between one side's routers and the machines of zones where only the other has routers
+};
+struct CutRouters { // between the routers of `a` and those of `b` that are not in `a`
+  RouterPick a, b;
+  bool one_way = false; // from `a` to `b` alone
+  CutWhat carries = CutWhat::Datagrams;
+  double until_ms = 0;
+};
+struct LoseDatagrams { // of those that the routers send or get, on top of what the network loses
+  RouterPick who;
+  double share = 0.2, twice = 0; // that are lost; that come twice
+  double until_ms = 0;
+};
+struct PauseRouters { // the process stands still: what comes meanwhile waits for it
+  RouterPick who;
+  double until_ms = 0;
+};
+enum class Claim { Least, Most }; // of the range that a fact may have
+struct LyingRouter {              // its datagrams are well formed and false
+  RouterPick who;
+  Claim demand = Claim::Most, limit = Claim::Most; // what it says of itself
+  bool of_others = false;                          // and of others, as later words of theirs
+  bool accuses = true;                             // it says of living routers that they are dead
+  double until_ms = 0;
+};
 struct DiscoveryOutage {
   double until_ms = 0;
 };
@@ -349,7 +386,8 @@
 using Happening =
     std::variant<Neighbour, StartNodes, DrainNodes, KillNodes, ReplaceNodes, RestartNodes, SilentNodes,
                  CutZones, CutNodes, RestartRouters, ReloadRouters, DiscoveryOutage, DiscoveryMove,
-                 OriginStall, OriginSlow, OriginFall, HotKey, LoadSpike, BadAnswers, LostZone, SlowLink>;
+                 OriginStall, OriginSlow, OriginFall, HotKey, LoadSpike, BadAnswers, LostZone, SlowLink,
+                 CutRouters, LoseDatagrams, PauseRouters, LyingRouter>;
 
 struct TimedEvent {
   double at_ms = 0;
--- a/tests/model/scenario_test.cpp
+++ b/tests/model/scenario_test.cpp
@@ -83,6 +83,19 @@
        [](Spec& s) {
          s.events = {{1000, "", CutZones{{0}, {}, 2000}}};
        }},
+      {"routers.sharing.period_ms", [](Spec& s) { s.routers.sharing.period_ms = 49; }},
+      {"events[0].carries",
+       [](Spec& s) {
+         s.events = {{1000, "", CutRouters{}}};
+       }},
+      {"events[0].one_way",
+       [](Spec& s) {
+         s.events = {{1000, "", CutRouters{{}, {}, true, CutWhat::All, 2000}}};
+       }},
+      {"events[0].what",
+       [](Spec& s) {
+         s.events = {{1000, "", LyingRouter{}}};
+       }},
       {"holds.bounds[0].at_least", [](Spec& s) { s.holds.bounds.push_back({}); }},
       {"holds.bounds[0].cls",
        [](Spec& s) {
@@ -178,11 +191,11 @@
   net.apply({0, LinkStep{0, 1, 3}});
   CHECK(net.between(1, 0) == 90);
   CHECK(net.passes(0, 6));
-  CutStep cut{7, true, {6}, {}, {}, {0}};
+  CutStep cut{7, true, {6}, {}, {}, {0}, false};
   net.apply({0, cut});
   CHECK_FALSE(net.passes(0, 6));
   CHECK(net.passes(1, 6));
-  net.apply({0, CutStep{7, false, {}, {}, {}, {}}});
+  net.apply({0, CutStep{7, false, {}, {}, {}, {}, false}});
   CHECK(net.passes(0, 6));
   net.apply({0, NodeStep{6, NodeStep::What::Silence, 0, BadAnswer::Error}});
   CHECK_FALSE(net.passes(1, 6));
@@ -194,6 +207,57 @@
   CHECK(net.passes(3, 0));
 }
 
+TEST_CASE("faults between routers: one way, all messages of a side, losses on top of the network's, pauses") {
+  Spec spec = two_zones();
+  spec.routers.sharing.on = true;
+  spec.events = {{1000, "", CutRouters{{{0}, {}, {}}, {{1, 2}, {}, {}}, true, CutWhat::Datagrams, 2000}},
+                 {3000, "", CutRouters{{{}, 0, {}}, {}, false, CutWhat::All, 4000}},
+                 {5000, "", LoseDatagrams{{{3}, {}, {}}, 0.5, 1, 6000}},
+                 {7000, "", PauseRouters{{{2}, {}, {}}, 8000}}};
+  REQUIRE(faults(spec).empty());
+  const Plan plan = make_plan(spec);
+  Network net(spec, plan);
+  std::size_t next = 0;
+  std::vector<RouterStep> steps;
+  const auto until = [&](double at) {
+    for (; next < plan.steps.size() && plan.steps[next].at_ms <= at; ++next) {
+      net.apply(plan.steps[next]);
+      if (const auto* r = std::get_if<RouterStep>(&plan.steps[next].what)) steps.push_back(*r);
+    }
+  };
+  const auto share = [&](RouterId from, RouterId to, bool twice) {
+    int n = 0;
+    for (int i = 0; i < 1000; ++i) n += twice ? net.twice(from, to) : net.datagram(from, to).has_value();
+    return n;
+  };
+  until(1500);
+  CHECK_FALSE(net.routers_pass(0, 1));
+  CHECK_FALSE(net.routers_pass(0, 2));
+  CHECK(net.routers_pass(1, 0));
+  CHECK(net.routers_pass(0, 3));
+  CHECK(net.passes(0, 6)); // datagrams alone
+  until(3500);             // by zones: 0 and 1 from 2 and 3, with the machines there
+  CHECK(net.routers_pass(0, 1));
+  CHECK_FALSE(net.routers_pass(0, 2));
+  CHECK_FALSE(net.routers_pass(3, 1));
+  CHECK_FALSE(net.passes(0, 6));
+  CHECK_FALSE(net.passes(2, 0));
+  CHECK(net.passes(2, 6));
+  until(4500);
+  CHECK(net.passes(0, 6));
+  CHECK(share(0, 3, false) == 1000);
+  until(5500);
+  CHECK(share(0, 3, false) == doctest::Approx(500).epsilon(0.1));
+  CHECK(share(3, 0, true) == 1000);
+  CHECK(share(0, 1, false) == 1000);
+  CHECK(share(0, 1, true) == 0);
+  until(60000);
+  CHECK(share(0, 3, false) == 1000);
+  REQUIRE(steps.size() == 2);
+  CHECK((steps[0].router == 2 && steps[0].what == RouterStep::What::Pause));
+  CHECK((steps[1].router == 2 && steps[1].what == RouterStep::What::Wake));
+}
+
 TEST_CASE("the front sends to a dead router until it notices, and to other zones where its own has none") {
   Spec spec = two_zones();
   spec.front.notice_ms = 1000;
