--- a/tests/lab/rig/rig_test.cpp
+++ b/tests/lab/rig/rig_test.cpp
@@ -11,6 +11,7 @@
 #include <set>
 
 #include "lab/rig/trial.h"
+#include "lab/virtual/virtual.h"
 #include "support.h"
 
 using namespace fernward;
@@ -333,3 +334,35 @@
     std::filesystem::remove_all(directory);
   }
 }
+
+TEST_CASE("routers that share, one of them stopped for a while: on sockets as in virtual time") {
+  model::Spec spec = spec_of(5, 100);
+  spec.routers.sharing.on = true;
+  spec.routers.sharing.period_ms = 100;
+  model::RouterPick second;
+  second.routers = {1};
+  spec.events = {{1500, "", model::PauseRouters{second, 2500}},
+                 {2500, "", model::CutRouters{{}, second, false, model::CutWhat::Datagrams, 0}}};
+  std::get<model::CutRouters>(spec.events[1].what).a.routers = {0};
+  Ledger sockets, virtually;
+  const auto info = play(spec, sockets, options());
+  const auto beside = lab::make_virtual_driver()->run(spec, virtually);
+  CAPTURE(sockets.said);
+  sockets.sound();
+  CHECK(info.why_void.empty());
+  CHECK(sockets.said.find("fleet living=") != std::string::npos);
+  for (const Ledger* ledger : {&sockets, &virtually}) {
+    CHECK(ledger->seen(RouterEvent::What::Paused) == 1);
+    CHECK(ledger->seen(RouterEvent::What::Woke) == 1);
+    // Nobody is answered by a process that stands still.
+    CHECK(ledger->ends[static_cast<std::size_t>(Heard::Served)] > ledger->drawn * 8 / 10);
+  }
+  REQUIRE(info.routers.size() == 2);
+  for (std::size_t r = 0; r < 2;
+       ++r) { // a datagram's size does not depend on the clock, their number hardly does
+    CHECK(info.routers[r].datagrams > 30);
+    CHECK(static_cast<double>(info.routers[r].datagrams) ==
+          doctest::Approx(static_cast<double>(beside.routers[r].datagrams)).epsilon(0.35));
+    CHECK(info.routers[r].datagram_bytes > 40 * info.routers[r].datagrams);
+  }
+}
--- /dev/null
+++ b/tests/members/measure.cpp
@@ -0,0 +1,69 @@
+// Prints how soon a death and a return are known, how often a living router is counted out, and what it all sends.
+// Usage: fernward_members_measure ROUTERS LOSS SECONDS SEED...   See docs/notes/fleet.md.
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <vector>
+
+#include "tier.h"
+
+using fernward::tests::Tier;
+
+namespace {
+
+// Until the first or the last of the others counts router 0 as living or not; below 0: not within two minutes.
+double until(Tier& tier, bool living, bool all) {
+  const double from = tier.now;
+  const auto knows = [&](std::size_t i) { return i == 0 || tier.routers[i]->members().alive(0) == living; };
+  bool done = false;
+  tier.run(120000, [&] {
+    return done = all ? tier.all(knows) : !tier.all([&](std::size_t i) { return i == 0 || !knows(i); });
+  });
+  return done ? tier.now - from : -1;
+}
+
+void tell(const char* what, std::vector<double> all) {
+  std::sort(all.begin(), all.end());
+  std::printf("  %-28s median %6.2f s, least %6.2f, most %6.2f\n", what, all[all.size() / 2] / 1000,
+              all.front() / 1000, all.back() / 1000);
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 5) return std::fprintf(stderr, "usage: %s ROUTERS LOSS SECONDS SEED...\n", argv[0]), 2;
+  const auto n = static_cast<std::size_t>(std::atoi(argv[1]));
+  const double loss = std::atof(argv[2]), seconds = std::atof(argv[3]);
+  std::vector<double> first, last, back;
+  double alarms = 0, bytes = 0, datagrams = 0, of = 0;
+  for (int i = 4; i < argc; ++i) {
+    Tier tier(n, static_cast<std::uint64_t>(std::atoi(argv[i])));
+    tier.loss = loss;
+    std::vector<std::size_t> seen(n, n);
+    tier.before_tick = [&](std::size_t r) { // a living one that is counted out, by each who does so
+      const std::size_t now = tier.living(r);
+      alarms += now < seen[r] ? static_cast<double>(seen[r] - now) : 0;
+      seen[r] = now;
+    };
+    tier.run(seconds * 1000);
+    tier.before_tick = [](std::size_t) {};
+    bytes += static_cast<double>(tier.bytes);
+    datagrams += static_cast<double>(tier.datagrams);
+    of += seconds * static_cast<double>(n);
+    tier.kill(0);
+    const double at = tier.now;
+    first.push_back(until(tier, false, false));
+    last.push_back(until(tier, false, true) < 0 ? -1 : tier.now - at);
+    tier.run(10000);
+    tier.start(0);
+    back.push_back(until(tier, true, true));
+  }
+  std::printf(
+      "%zu routers, %.0f%% lost, %d seeds of %.0f s: %.1f datagrams, %.0f bytes a second and router\n", n,
+      100 * loss, argc - 4, seconds, datagrams / of, bytes / of);
+  std::printf("  %.1f times an hour a living router is counted out, of %zu pairs\n",
+              alarms / (seconds * (argc - 4)) * 3600, n * (n - 1));
+  tell("a death is known to one after", first);
+  tell("and to all after", last);
+  tell("a return to all after", back);
+}
