The lab: a client that leaves early, and an answer on its long way, break no rule

A client that left before its request came to a router was told as answered without a try, which the checker took for a second answer. And a router counts the client's time from when the request came: over a long link its answer was still coming when the client had stopped listening, which counted as lost.

--- a/lab/virtual/world_clients.cpp
+++ b/lab/virtual/world_clients.cpp
@@ -164,6 +164,18 @@
   by_try_.erase(found);
   Try& t = *tries_.find(client);
   t.over = true;
+  if (!t.came) { // the client went before any router had it
+    model::Tried tried;
+    tried.at = now_;
+    tried.due = t.start.due;
+    tried.request = t.start.drawn.request;
+    tried.try_id = t.start.try_id;
+    tried.number = t.start.number;
+    tried.router = t.router;
+    tried.deadline = t.start.deadline;
+    tried.repeat_key = t.start.repeat_key;
+    sink_.on(tried);
+  }
   model::Answered answered;
   answered.at = now_;
   answered.request = over.request;
--- a/tests/lab/check/rules_test.cpp
+++ b/tests/lab/check/rules_test.cpp
@@ -82,6 +82,13 @@
       {"repeated within the window", twice(1, Ending::Error, 2, 900)},
       {"a router that was killed owes nothing",
        one_try([](Script& s) { s.router(100, 0, What::Killed); }, Heard::Broken, 101)},
+      {"an answer that is still on its long way back",
+       [](Script& s) {
+         s.drawn(0, 1)
+             .tried(60, 1, 0, true, 60)
+             .answered(1570, 1, Heard::Silence)
+             .closed(1570, 1, Heard::Silence, 0);
+       }},
       {"nor does a silent one", one_try([](Script& s) { s.router(100, 0, What::Silent); }, Heard::Silence)},
       {"nor one that was silent meanwhile",
        one_try([](Script& s) { s.router(100, 0, What::Silent).router(900, 0, What::Returned); },
