--- a/lab/commands/command.h
+++ b/lab/commands/command.h
@@ -33,6 +33,7 @@
 int keys_command(const Arguments& arguments);
 int cost_command(const Arguments& arguments);
 int relay_command(const Arguments& arguments);
+int storm_command(const Arguments& arguments);
 
 // ---- command lines ----
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -28,6 +28,7 @@
        {"run", "play one scenario, judge it and measure it", &lab::run_command},
        {"sweep", "play it for values of a key and for many seeds", &lab::sweep_command},
        {"compare", "play it two ways over the same seeds: which is better?", &lab::compare_command},
+       {"storm", "faults drawn from seeds, judged by oracles, and made smaller", &lab::storm_command},
        {"report", "draw the page of a run again", &lab::report_command},
        {"keys", "print every key of a scenario", &lab::keys_command},
        {"cost", "what the router costs beside a bare relay of bytes", &lab::cost_command},
--- a/lab/virtual/router.cpp
+++ b/lab/virtual/router.cpp
@@ -13,10 +13,11 @@
 
 namespace {
 
-constexpr std::size_t kReserved = 24;     // descriptors for all but client and egress connections
-constexpr double kIdleShare = 0.7;        // of the time after which the machine closes, as the settings say
-constexpr double kUnixMs = 1.7e12;        // of the wall's clock, as the run begins
-constexpr std::uint64_t kTimedShare = 16; // one decision in so many is timed
+constexpr std::size_t kReserved = 24; // descriptors for all but client and egress connections
+constexpr double kIdleShare = 0.7;    // of the time after which the machine closes, as the settings say
+constexpr double kUnixMs = 1.7e12;    // of the wall's clock, as the run begins
+constexpr std::uint64_t kSpins = ~std::uint64_t{0}; // planted: the token of a timer that sets itself
+constexpr std::uint64_t kTimedShare = 16;           // one decision in so many is timed
 
 std::size_t places(const model::Spec& spec) {
   return std::max<std::size_t>(spec.routers.sockets, kReserved + 16) - kReserved;
@@ -27,17 +28,20 @@
 double router_idle_ms(const model::Spec& spec) { return kIdleShare * spec.routers.conn_idle_ms; }
 
 Router::Router(const model::Spec& spec, const model::RouterPlace& place, const Machines& machines,
-               std::size_t routers, Surroundings& world)
+               std::size_t routers, Surroundings& world, Planted planted)
     : spec_(spec),
       place_(place),
       machines_(machines),
       world_(world),
       settings_(model::router_settings(spec, place.zone)),
+      defect_(planted),
       routers_(routers),
       known_(machines.entries.size()),
       free_(machines.entries.size()),
       rests_(router_idle_ms(spec)),
-      account_(places(spec)) {}
+      account_(places(spec)) {
+  defect_.settings(settings_);
+}
 
 bool Router::ready() const {
   return runs() && !stopping_ && std::any_of(known_.begin(), known_.end(), [](const Known& k) {
@@ -49,6 +53,7 @@
 
 void Router::start() {
   ++life_;
+  defect_.restart();
   stopping_ = stopped_ = false;
   list_index_ = 0;
   const std::uint64_t seed = model::mix(spec_.seed, place_.id, life_);
@@ -114,18 +119,24 @@
 }
 
 void Router::word() {
-  const shared::View view = fleet_->view(now());
+  const shared::View said = view();
   const model::SharingSpec& sharing = spec_.routers.sharing;
-  enqueue(fernward::FleetWord{sharing.count ? view.living : 0, sharing.ledger ? view.ledger_part : 0});
+  enqueue(fernward::FleetWord{sharing.count ? said.living : 0, sharing.ledger ? said.ledger_part : 0});
   pump();
 }
 
 std::optional<model::Shared> Router::shared() {
   if (fleet_ == nullptr) return std::nullopt;
-  const shared::View view = fleet_->view(now());
+  const shared::View said = view();
   const fernward::Balancer::Ledger ledger = balancer_->ledger();
-  return model::Shared{now(),         place_.id,    view.living,     view.heard,
-                       ledger.demand, ledger.limit, view.ledger_part};
+  return model::Shared{now(),         place_.id,    said.living,     said.heard,
+                       ledger.demand, ledger.limit, said.ledger_part};
+}
+
+shared::View Router::view() {
+  shared::View said = fleet_->view(now());
+  if (defect_.is(Planted::DoublePart)) said.ledger_part *= 2;
+  return said;
 }
 
 // ---- what happens: clients ----
@@ -161,6 +172,10 @@
   request.deadline = x.deadline + kRouterEpoch;
   request.work_ms = start.drawn.hint_ms;
   request.write = start.drawn.write;
+  if (defect_.refuses(request, open_, settings_.classes.size())) {
+    finish(id, model::Heard::Refused, 0);
+    return drop_if_done(id);
+  }
   enqueue(request);
 }
 
@@ -175,6 +190,7 @@
 
 // The last guard: the module answers earlier.
 void Router::guard(Handle exchange) {
+  if (defect_.is(Planted::SilentEnd)) return;
   const Exchange* x = world_.exchanges().find(exchange);
   if (x == nullptr || x->over) return;
   finish(exchange, model::Heard::Failed, 0);
@@ -199,6 +215,9 @@
     before = known_;
   }
   for (const auto& entry : list.entries) {
+    const bool goes = entry.state != ServerState::Ready;
+    if (goes && defect_.is(Planted::DeafToDrains)) continue;
+    if (goes && defect_.is(Planted::Spins)) world_.at(now(), Due::RouterTimer, place_.id, kSpins, life_);
     known_[entry.machine] = {entry.state, entry.started_at};
     fernward::Server server = machines_.entries[entry.machine];
     server.state = entry.state;
@@ -265,7 +284,7 @@
   Link* l = world_.links().find(link);
   l->attempt = 0;
   if (how == Ends::Unbegun || result != Result::Reset) learn(*l, how == Ends::Unbegun);
-  if (how == Ends::KeepsLink && in_service(l->machine)) {
+  if (how == Ends::KeepsLink && in_service(l->machine) && !defect_.is(Planted::NoReuse)) {
     rest(link, *l);
   } else {
     close_link(link, *l);
@@ -361,8 +380,9 @@
   if (pumping_) return;
   pumping_ = true;
   while (!events_.empty()) {
-    const fernward::Event event = std::move(events_.front());
+    fernward::Event event = std::move(events_.front());
     events_.pop_front();
+    if (defect_.any() && !defect_.tell(event, settings_.origin_kind)) continue;
     decide(event);
     for (const fernward::Action& action : actions_) carry_out(action);
   }
@@ -379,6 +399,9 @@
 }
 
 void Router::timer(std::uint64_t token) {
+  if (token == kSpins && defect_.is(Planted::Spins)) {
+    return world_.at(now(), Due::RouterTimer, place_.id, kSpins, life_);
+  }
   enqueue(fernward::TimerFired{token});
   pump();
 }
@@ -387,6 +410,7 @@
   if (const auto* out = std::get_if<fernward::Send>(&action)) {
     send(*out);
   } else if (const auto* refuse = std::get_if<fernward::Refuse>(&action)) {
+    if (defect_.is(Planted::SilentEnd) && refuse->why == fernward::Why::NoTarget) return;
     finish(refuse->id, model::Heard::Refused, refuse->retry_after_ms);
     drop_if_done(refuse->id);
   } else if (const auto* fail = std::get_if<fernward::Fail>(&action)) {
@@ -499,6 +523,7 @@
   world_.attempts().remove(attempt);
   Exchange* x = world_.exchanges().find(a.exchange);
   if (x == nullptr) return;
+  if (defect_.is(Planted::UncountedRetry) && send_again(a, result)) return;
   x->attempts[a.number] = 0;
   --x->out;
   if (result == Result::Ok) finish(a.exchange, model::Heard::Served, 0);
@@ -506,6 +531,29 @@
   drop_if_done(a.exchange);
 }
 
+// Planted: the same again, past the module.
+bool Router::send_again(const RouterAttempt& a, Result result) {
+  constexpr std::uint32_t kMost = 4;
+  Exchange* x = world_.exchanges().find(a.exchange);
+  const bool failed = result == Result::Error || result == Result::Reset || result == Result::Full ||
+                      result == Result::ConnectFailed || result == Result::TimedOut;
+  if (!failed || x->over || a.again >= kMost || now() >= x->deadline) return false;
+  const Handle handle = world_.attempts().add();
+  RouterAttempt& next = *world_.attempts().find(handle);
+  next = a;
+  next.again = a.again + 1;
+  next.written = false;
+  next.deadline = x->deadline;
+  x->attempts[a.number] = handle;
+  if (start_attempt(handle, a.machine) != Start::Begun) {
+    x->attempts[a.number] = 0;
+    world_.attempts().remove(handle);
+    return false;
+  }
+  world_.at(x->deadline, Due::AttemptTimeout, place_.id, handle, life_);
+  return true;
+}
+
 void Router::outcome(Handle exchange, std::uint32_t number, model::MachineId machine, double elapsed,
                      Result result, std::vector<float> report, bool rested) {
   const Exchange* x = world_.exchanges().find(exchange);
--- a/lab/virtual/router.h
+++ b/lab/virtual/router.h
@@ -16,6 +16,7 @@
 #include "budget/account.h"
 #include "fernward/choice.h"
 #include "lab/virtual/agenda.h"
+#include "lab/virtual/planted.h"
 #include "lifetimes/rests.h"
 #include "model/clients.h"
 #include "model/discovery.h"
@@ -62,6 +63,7 @@
   Handle link = 0;
   double sent_at = 0, deadline = 0;
   bool written = false;
+  std::uint32_t again = 0; // planted: so often it was sent again
 };
 
 struct Machines {                        // the numbers that routers know machines by
@@ -91,7 +93,7 @@
 class Router {
  public:
   Router(const model::Spec& spec, const model::RouterPlace& place, const Machines& machines,
-         std::size_t routers, Surroundings& world);
+         std::size_t routers, Surroundings& world, Planted planted);
 
   bool runs() const { return balancer_ != nullptr; }
   bool accepts() const { return runs() && !stopped_; } // new connections
@@ -139,6 +141,8 @@
   void enqueue(fernward::Event event) { events_.push_back(std::move(event)); }
   void pump();
   void decide(const fernward::Event& event);
+  bool send_again(const RouterAttempt& a, fernward::Result result);
+  shared::View view();
   void carry_out(const fernward::Action& action);
   void send(const fernward::Send& send);
   enum class Start { Begun, NoTarget, Full };
@@ -166,6 +170,7 @@
   const Machines& machines_;
   Surroundings& world_;
   fernward::Settings settings_;
+  Defect defect_;
 
   std::uint32_t life_ = 0;
   std::unique_ptr<fernward::Balancer> balancer_;
--- a/lab/virtual/virtual.cpp
+++ b/lab/virtual/virtual.cpp
@@ -18,11 +18,12 @@
 
 class VirtualDriver : public Driver {
  public:
+  explicit VirtualDriver(Planted planted) : planted_(planted) {}
   RunInfo run(const model::Spec& spec, model::Sink& sink, const RunControl& control) override {
     RunInfo info;
     const double cpu = thread_cpu_s();
     const auto begin = std::chrono::steady_clock::now();
-    World world(spec, sink);
+    World world(spec, sink, planted_);
     world.run(control, info);
     info.wall_s = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
     info.cpu_s = thread_cpu_s() - cpu;
@@ -33,10 +34,15 @@
     }
     return info;
   }
+
+ private:
+  const Planted planted_;
 };
 
 } // namespace
 
-std::unique_ptr<Driver> make_virtual_driver() { return std::make_unique<VirtualDriver>(); }
+std::unique_ptr<Driver> make_virtual_driver(Planted planted) {
+  return std::make_unique<VirtualDriver>(planted);
+}
 
 } // namespace fernward::lab
--- a/lab/virtual/virtual.h
+++ b/lab/virtual/virtual.h
@@ -6,9 +6,10 @@
 #include <memory>
 
 #include "lab/driver.h"
+#include "lab/virtual/planted.h"
 
 namespace fernward::lab {
 
-std::unique_ptr<Driver> make_virtual_driver();
+std::unique_ptr<Driver> make_virtual_driver(Planted planted = Planted::None);
 
 } // namespace fernward::lab
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -43,7 +43,7 @@
   return longest;
 }
 
-World::World(const model::Spec& spec, model::Sink& sink)
+World::World(const model::Spec& spec, model::Sink& sink, Planted planted)
     : spec_(spec),
       sink_(sink),
       plan_(model::make_plan(spec)),
@@ -75,7 +75,7 @@
     places_[m.id].wakes_at = kForever;
   }
   for (const model::RouterPlace& r : plan_.routers) {
-    routers_.push_back(std::make_unique<Router>(spec_, r, machines_, plan_.routers.size(), *this));
+    routers_.push_back(std::make_unique<Router>(spec_, r, machines_, plan_.routers.size(), *this, planted));
   }
 }
 
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -27,7 +27,7 @@
 class World : public Surroundings {
  public:
   // `spec` and `sink` outlive it; `spec` has no faults().
-  World(const model::Spec& spec, model::Sink& sink);
+  World(const model::Spec& spec, model::Sink& sink, Planted planted = Planted::None);
 
   // Until all is answered, or the control asks to stop.
   void run(const RunControl& control, RunInfo& info);
