Bounds of what routers share: parts of one age, judgements by votes, nothing written late

Limits: at 256 routers the parts dealt out came to 1.6 times what was held while demand rose, and one liar of four took the sum from 34 to 11,000 in 15 s. Facts::part takes all as it was when the words were made, own demand too, and leaves the outermost out; a limit is led a fifth of the way at its beginning, too.

--- a/include/fernward/choice.h
+++ b/include/fernward/choice.h
@@ -180,8 +180,16 @@
   double ledger_part = 0; // of what all may have at the origin at once, this one's part; 0: not known
 };
 
-using Event =
-    std::variant<ServerList, Request, Outcome, StreamOpened, ClientGone, TimerFired, ProbeResult, FleetWord>;
+// What several routers say together of a cache; a single one's word never comes here. An own answer that is younger
+// outweighs it, and what is left out by it is tried by a request of this node's own before long.
+struct FleetFinding {
+  ServerId server = 0;
+  bool bad = false;   // silent, or its attempts fail
+  double seen_at = 0; // clock time of the youngest evidence
+};
+
+using Event = std::variant<ServerList, Request, Outcome, StreamOpened, ClientGone, TimerFired, ProbeResult,
+                           FleetWord, FleetFinding>;
 
 // ---- actions ----
 
@@ -253,6 +261,14 @@
   };
   Ledger ledger() const;
 
+  // What this node has seen itself of the caches in service, to be told to others: hearsay is not passed on.
+  struct Finding {
+    ServerId server = 0;
+    std::uint32_t lost = 0; // attempts in a row; 0: its latest word was a good one
+    double seen_at = 0;     // clock time; it may be long ago
+  };
+  void findings(std::vector<Finding>& to) const; // appends
+
   // Takes one event that occurs at `now`; appends what to do about it.
   void on(double now, const Event& event, std::vector<Action>& actions);
 
--- a/lab/rig/config.cpp
+++ b/lab/rig/config.cpp
@@ -134,9 +134,10 @@
 std::string fleet_toml(const model::SharingSpec& sharing) {
   const auto word = [](bool on) { return on ? "true" : "false"; };
   char text[256];
-  std::snprintf(text, sizeof text,
-                "[members]\nperiod = \"%.0fms\"\nasked = %u\n\n[share]\nledger = %s\ncount = %s\n",
-                sharing.period_ms, sharing.asked, word(sharing.ledger), word(sharing.count));
+  std::snprintf(
+      text, sizeof text,
+      "[members]\nperiod = \"%.0fms\"\nasked = %u\n\n[share]\nledger = %s\ncount = %s\nfindings = %s\n",
+      sharing.period_ms, sharing.asked, word(sharing.ledger), word(sharing.count), word(sharing.findings));
   return text;
 }
 
--- a/lab/scenario/schema.cpp
+++ b/lab/scenario/schema.cpp
@@ -205,6 +205,7 @@
   v.count("asked", r.sharing.asked, "others that are asked about one that does not answer, 8 at most");
   v.flag("ledger", r.sharing.ledger, "the limit at the origin is dealt out by demand");
   v.flag("count", r.sharing.count, "living routers count, in place of the configured number");
+  v.flag("findings", r.sharing.findings, "what several routers say together of a cache node");
   v.leave();
   v.enter("resize", "what routers do when the list changes");
   v.amount("settle_ms", r.resize.settle_ms, Unit::Time, "former owners are read for this long; 0: off");
--- a/lab/virtual/router.h
+++ b/lab/virtual/router.h
@@ -22,6 +22,7 @@
 #include "model/discovery.h"
 #include "model/plan.h"
 #include "model/record.h"
+#include "shared/advice.h"
 #include "shared/fleet.h"
 
 namespace fernward::lab {
@@ -162,8 +163,9 @@
   void close_link(Handle link, Link& l);
   void close_free(model::MachineId machine);
   double now() const { return world_.now(); }
-  void speak(); // what fleet_ has to say
-  void word();  // what follows from it for the balancer
+  double clock() const; // that the policy and the fleet see
+  void speak();         // what fleet_ has to say
+  void word();          // what follows from it for the balancer
 
   const model::Spec& spec_;
   const model::RouterPlace place_;
@@ -179,6 +181,7 @@
   bool pumping_ = false;
   bool stopping_ = false, stopped_ = false;
   const std::size_t routers_; // of the tier
+  shared::Uses uses_;
   std::unique_ptr<shared::Fleet> fleet_;
   std::vector<shared::Fleet::Out> out_;
   bool heard_ = false;                    // anybody, since its start
--- a/src/config/fleet.h
+++ b/src/config/fleet.h
@@ -15,6 +15,7 @@
   std::uint32_t asked = 3; // others that are asked about one that does not answer
   bool ledger = true;      // the limit at the ledger, dealt out by demand
   bool count = true;       // living routers in place of the configured number, where that is safe
+  bool findings = false;   // what several say together of cache nodes
   // From the platform's file:
   std::uint32_t self = 0;
   std::string listen;
--- a/src/egress/pool.cpp
+++ b/src/egress/pool.cpp
@@ -326,6 +326,12 @@
 }
 
 void Pool::came_up(Connection& c) {
+  if (const Handle late = c.attempt; late != 0 && !attempts_.wanted(late)) {
+    cancel(late); // while it was not up: nothing of it goes out, and the connection rests
+    exchange::Ending ending;
+    ending.result = Result::Moot;
+    attempts_.ended(late, std::move(ending));
+  }
   c.up = true;
   deadlines_.cancel(c.ticket);
   bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
--- a/src/exchange/call.h
+++ b/src/exchange/call.h
@@ -110,6 +110,9 @@
   virtual void ended(Handle attempt, Ending ending) = 0;
   // An answer waits until it is whole, but not beyond this time; see bodies/answer.h.
   virtual double wait_until(Handle attempt) = 0;
+  // Does its request still wait? Else nothing is written for it that has not begun: its final answer may say that it never
+  // ran.
+  virtual bool wanted(Handle attempt) = 0;
   // As of ClientSide, for the client that the attempt is made for. False: the answer is not wanted any more.
   virtual bool begin(Handle attempt, Opening opening) = 0;
   virtual std::size_t room(Handle attempt) = 0;
--- a/src/exchange/driver.cpp
+++ b/src/exchange/driver.cpp
@@ -93,6 +93,12 @@
   return x == nullptr ? 0 : bodies::wait_until(a->sent_at, x->aim_at);
 }
 
+bool Driver::wanted(Handle attempt) {
+  const Attempt* a = attempts_.find(attempt);
+  const Exchange* x = a == nullptr ? nullptr : exchanges_.find(a->exchange);
+  return x != nullptr && !x->over;
+}
+
 bool Driver::begin(Handle attempt, Opening opening) {
   const Attempt* a = attempts_.find(attempt);
   Exchange* x = a == nullptr ? nullptr : exchanges_.find(a->exchange);
@@ -153,7 +159,9 @@
   });
 }
 
-void Driver::fleet(const fernward::FleetWord& word) { enqueue(word); }
+void Driver::fleet(std::vector<fernward::Event> events) {
+  for (auto& event : events) enqueue(std::move(event));
+}
 
 void Driver::list(fernward::ServerList list) { enqueue(std::move(list)); }
 
--- a/src/exchange/driver.h
+++ b/src/exchange/driver.h
@@ -38,12 +38,14 @@
   // The process ends soon: what has no final answer by then gets one, the last guard's.
   void ends_by(double by);
   void list(fernward::ServerList list);
-  void fleet(const fernward::FleetWord& word);
+  void fleet(std::vector<fernward::Event> events); // what the tier's word comes to, see shared/advice.h
+  const fernward::Balancer& balancer() const { return balancer_; }
   fernward::Balancer::Ledger ledger() const { return balancer_.ledger(); }
   void change(const fernward::Settings& settings); // as of Balancer::change; throws std::invalid_argument
 
   void ended(Handle attempt, Ending ending) override;
   double wait_until(Handle attempt) override;
+  bool wanted(Handle attempt) override;
   bool begin(Handle attempt, Opening opening) override;
   std::size_t room(Handle attempt) override;
   void pass(Handle attempt, std::string_view bytes, loop::Block& block) override;
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace fernward::limits {
 namespace {
@@ -32,7 +33,8 @@
 constexpr double kClearDown = 0.5, kClearUp = 0.3; // by which it follows what was seen after a cut
 constexpr double kFewClear = 6, kManyClear = 16;   // samples that this takes
 constexpr double kLead = 0.2;                      // of the way to its part that a limit goes at each call
-constexpr double kUnused = 0.98; // by which each answer takes back a limit less than half used
+constexpr double kReachedAgain = 0.7; // of the limit before the first connection that did not come up
+constexpr double kUnused = 0.98;      // by which each answer takes back a limit less than half used
 
 } // namespace
 
@@ -84,11 +86,14 @@
     case Ending::TurnedAway:
     case Ending::Unreached:
       if (now - cut_at_ < recent_ms_) return Sign::None;
+      if (s.ending == Ending::Unreached && reached_ == 0) reached_ = limit_;
       cut(now, 0.7 * std::min(limit_, s.out + 1.0));
       return Sign::TurnedAway;
     case Ending::Answered:
       silent_ = 0;
       later_ = std::max(later_, sent);
+      // What never came up tells of the way or the door, not of the work: back in reach, all of it counts as one cut.
+      if (reached_ > 0) limit_ = std::max(limit_, kReachedAgain * std::exchange(reached_, 0.0));
       break;
     case Ending::Silent:
       // Where what was sent later has been answered, or answers came at all since, the connection is at fault.
@@ -208,12 +213,7 @@
 void Limiter::lead(double part) {
   if (!usable_number(part) || part == 0) return;
   part = std::clamp(part, start_ * kLeast, kMost);
-  if (!doubling_) {
-    limit_ += kLead * (part - limit_);
-  } else if (part > 2 * limit_) { // the others have been through the beginning
-    limit_ = was_ = used_ = part;
-    doubling_ = false;
-  }
+  limit_ += kLead * (part - limit_); // also of one at its beginning: what it took at once nobody would give
 }
 
 void Limiter::cut(double now, double to) {
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -44,7 +44,7 @@
   void sent(double now);
   Sign ended(double now, const Sample& sample);
 
-  // What the routers together hold this one's part to be. Approached over some calls; one that knows nothing yet takes it.
+  // What the routers together hold this one's part to be. Approached over some calls.
   void lead(double part);
 
   double limit() const { return limit_; }         // attempts at once; below one it is a pace
@@ -77,7 +77,9 @@
   double sent_at_ = kNever, tokens_ = 0, gap_ms_ = 0;
   double cut_at_ = kNever, settled_at_ = kNever,
          later_ = kNever; // later_: when the latest attempt that was answered had been sent
-  double silent_ = 0;     // attempts in a row that ended without a word
+  double reached_ =
+      0; // limit before the first connection of several that did not come up; 0: none since an answer
+  double silent_ = 0; // attempts in a row that ended without a word
 };
 
 } // namespace fernward::limits
--- a/src/model/spec.h
+++ b/src/model/spec.h
@@ -142,6 +142,7 @@
   std::uint32_t asked = 3; // others that are asked about one that does not answer
   bool ledger = true;      // the limit at the origin, dealt out by demand
   bool count = true;       // living routers in place of the configured number, where that is safe
+  bool findings = false;   // what several say together of cache nodes
 };
 
 struct RouterSpec {
--- a/src/peering/link.cpp
+++ b/src/peering/link.cpp
@@ -28,7 +28,7 @@
       deadlines_(deadlines),
       calls_(std::move(calls)),
       fleet_(options.self, options.peers.size(), shared::incarnation_at(loop::now_ms()), options.rules,
-             options.seed) {
+             options.seed, options.zone) {
   if (!config::parse_address(options.listen, listen_))
     throw config::Error("peer_listen: \"" + options.listen + "\" is no address of the form 10.0.0.4:7946");
   for (std::size_t i = 0; i < options.peers.size(); ++i) {
@@ -67,7 +67,7 @@
   const double now = loop::now_ms();
   fleet_.tick(now, calls_.own(), out_);
   send();
-  calls_.view(fleet_.view(now));
+  calls_.heard(fleet_, now);
   ticket_ = deadlines_.at(fleet_.next(), [this] { round(); });
 }
 
@@ -91,9 +91,9 @@
   }
   send();
   if (heard_) return;
-  const shared::View view = fleet_.view(loop::now_ms());
-  heard_ = view.heard > 0;
-  if (heard_) calls_.view(view); // one that comes back need not wait for the next round
+  const double now = loop::now_ms();
+  heard_ = fleet_.view(now).heard > 0;
+  if (heard_) calls_.heard(fleet_, now); // one that comes back need not wait for the next round
 }
 
 // What the kernel does not take is lost, as the net loses some.
--- a/src/peering/link.h
+++ b/src/peering/link.h
@@ -23,12 +23,13 @@
   std::vector<std::string> peers; // by number, this router's own included
   members::Rules rules;
   std::uint64_t seed = 1;
+  std::uint8_t zone = shared::kNoZone;
 };
 
 struct Calls {
   std::function<shared::Own()> own; // what is to be said
-  std::function<void(const shared::View&)>
-      view; // after each round, and as soon as the first others are heard
+  std::function<void(shared::Fleet&, double now)>
+      heard; // after each round, and as soon as the first others are heard
 };
 
 class Link {
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -82,7 +82,7 @@
     const bool ready = r.entry.state == ServerState::Ready;
     if (is_origin(r) && (origin == nullptr || ready)) origin = &r;
     caches += ready && !is_origin(r);
-    ejected += ready && r.ejected;
+    ejected += ready && r.health.out();
     leaving |= r.entry.state == ServerState::Gone;
   }
 }
@@ -108,7 +108,7 @@
 }
 
 void Balancer::Impl::probe(Replica& r) {
-  r.trial_out = r.ejected;
+  r.health.sent();
   r.probed_at = now;
   act(Probe{r.entry.id});
 }
@@ -135,8 +135,9 @@
   for (auto it = replicas.begin(); it != replicas.end();) {
     Replica& r = it->second;
     const bool can_probe = set.may_probe && r.entry.state == ServerState::Ready;
-    if (can_probe && r.ejected && !r.trial_out && now >= r.trial_at) probe(r);
-    if (can_probe && !r.ejected && !is_origin(r) && (oldest == nullptr || r.probed_at < oldest->probed_at))
+    if (can_probe && r.health.out() && r.health.trial_due(now)) probe(r);
+    if (can_probe && !r.health.out() && !is_origin(r) &&
+        (oldest == nullptr || r.probed_at < oldest->probed_at))
       oldest = &r;
     const bool gone = r.entry.state == ServerState::Gone && r.open == 0 && &r != origin;
     leaving |= r.entry.state == ServerState::Gone && !gone && &r != origin;
@@ -155,7 +156,7 @@
 
 bool Balancer::avoids(ServerId server) const {
   const Replica* r = impl_->find(server);
-  return r != nullptr && r->ejected;
+  return r != nullptr && r->health.out();
 }
 
 Balancer::Ledger Balancer::ledger() const { return {impl_->ledger_demand, impl_->origin_limit.limit()}; }
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -64,6 +64,7 @@
   void take(const ServerList& list);
   void take(const TimerFired& e);
   void take(const FleetWord& e);
+  void take(const FleetFinding& e);
   void arrange();
   void probe(Replica& r);
   void tick();
@@ -96,8 +97,9 @@
   bool send(Open& o, Replica& r);
 
   // health.cpp: which caches are left out
-  bool answers_others(const Replica& r) const;
+  bool answers_others(const Replica& r);
   void strike(Replica& r, int weight);
+  void leave_out(Replica& r);
   void postpone_trial(Replica& r);
   void heard(Replica& r);
 
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -33,7 +33,7 @@
   // When most look bad the judgement itself is distrusted. Else half-open: without probes, one real request
   // at a time is the trial.
   const bool panic = static_cast<double>(ejected) > kPanicShare * static_cast<double>(caches);
-  return !r.ejected || panic || (!set.may_probe && !r.trial_out && now >= r.trial_at);
+  return !r.health.out() || panic || (!set.may_probe && r.health.trial_due(now));
 }
 
 // ---- a request arrives ----
@@ -124,7 +124,7 @@
   if (o.over || o.streaming || o.attempts.size() >= set.attempts_of(o.in.cls) || !repeatable(o, r))
     return false;
   if (r.entry.state != ServerState::Ready || now >= o.end_at) return false;
-  if (r.ejected) r.trial_out = true;
+  r.health.sent();
   act(SetTimer{std::max(lateness(r).slow_ms, 2 * set.tick_ms),
                token(Timer::Overdue, o.in.id, o.attempts.size() & 0xff)});
   if (!o.maybe_ran && o.out == 0) { // the group that a keyed request is bound to from now on
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -5,44 +5,44 @@
 
 namespace fernward {
 
-constexpr int kStrikes = 3;          // silent attempts in a row that eject; a refused one counts twice
-constexpr double kMaxEjectMs = 8000; // the longest wait for a trial
-
-// ---- health ----
-
-bool Balancer::Impl::answers_others(const Replica& r) const {
-  const double slow = (is_origin(r) ? origin_late : cache_late).slow_ms;
-  return now - r.heard_at < 2 * std::max(slow, r.response(now, fleet_ms));
+bool Balancer::Impl::answers_others(const Replica& r) {
+  return now - r.health.heard_at() < 2 * std::max(lateness(r).slow_ms, r.response(now, fleet_ms));
 }
 
 void Balancer::Impl::strike(Replica& r, int weight) {
-  r.strikes += weight;
-  if (r.ejected || r.strikes < kStrikes || is_origin(r)) return;
   // It is slow, or its connections break, but it is not gone. Unless it fails far more than most.
-  if (answers_others(r) && r.failing < 0.5 + failing / 2) return;
-  r.ejected = true;
+  const bool stays = answers_others(r) && r.failing < 0.5 + failing / 2;
+  if (!is_origin(r) && r.health.struck(now, weight, stays)) leave_out(r);
+}
+
+void Balancer::Impl::leave_out(Replica& r) {
   ejected += r.entry.state == ServerState::Ready;
   places.pace().disturb(now); // its keys fall to others now, long before the list tells
   postpone_trial(r);
-  log("cache ejected, trial in ms:", r.trial_at - now);
+  log("cache ejected, trial in ms:", r.health.trial_at() - now);
 }
 
-void Balancer::Impl::postpone_trial(Replica& r) {
-  r.trial_out = false;
-  r.eject_ms = std::clamp(2 * r.eject_ms, std::min(2 * cache_late.slow_ms, kMaxEjectMs), kMaxEjectMs);
-  r.trial_at = now + r.eject_ms * (0.75 + 0.5 * random.unit());
-}
+void Balancer::Impl::postpone_trial(Replica& r) { r.health.wait(now, cache_late.slow_ms, random.unit()); }
 
 void Balancer::Impl::heard(Replica& r) {
-  r.heard_at = now;
-  r.strikes = 0;
-  if (!r.ejected) {
-    if (r.eject_ms > 0 && now - r.trial_at > kMaxEjectMs) r.eject_ms = 0;
-    return;
+  if (r.health.heard(now)) ejected -= r.entry.state == ServerState::Ready;
+}
+
+// ---- what routers tell one another ----
+
+void Balancer::Impl::take(const FleetFinding& e) {
+  Replica* r = find(e.server);
+  if (r == nullptr || is_origin(*r)) return;
+  if (!e.bad) return r->health.told_well(now, e.seen_at);
+  if (r->health.told_bad(e.seen_at)) leave_out(*r);
+}
+
+void Balancer::findings(std::vector<Finding>& to) const {
+  for (const auto& [id, r] : impl_->replicas) {
+    if (impl_->is_origin(r) || r.entry.state != ServerState::Ready) continue;
+    const auto lost = static_cast<std::uint32_t>(r.health.strikes());
+    to.push_back({id, lost, lost > 0 ? r.health.struck_at() : r.health.heard_at()});
   }
-  r.ejected = r.trial_out = false;
-  ejected -= r.entry.state == ServerState::Ready;
-  r.trial_at = now;
 }
 
 } // namespace fernward
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -100,8 +100,7 @@
       o.missed.push_back(r.entry.id);
       break;
     case Result::Full: // for about as long as one request takes, another would be turned away too
-      r.heard_at = now;
-      r.strikes = 0;
+      r.health.lives(now);
       shedder.tight += e.attempt > 0; // not its first: the caches are full, not just one
       r.full_until = now + (r.service_ms > 0 ? r.service_ms : r.response(now, fleet_ms));
       break;
@@ -116,7 +115,7 @@
       break;
     default: break;
   }
-  if (r.ejected && e.result != Result::Full) postpone_trial(r);
+  if (r.health.out() && e.result != Result::Full) postpone_trial(r);
 }
 
 void Balancer::Impl::note_hit(Open& o, const Attempt& a, bool hit) {
@@ -128,7 +127,7 @@
 
 void Balancer::Impl::learn_origin(Replica& r, const Outcome& e, double elapsed) {
   if (e.result != Result::Ok) return;
-  r.heard_at = now;
+  r.health.lives(now);
   r.answered(now, elapsed);
   origin_late.answered(elapsed);
 }
@@ -178,7 +177,7 @@
   if (r == nullptr) return;
   r->report(now, set.report_fields, e.report);
   if (e.ok) heard(*r);
-  if (r->ejected) postpone_trial(*r);
+  if (r->health.out()) postpone_trial(*r);
 }
 
 // Slower than nearly all: the server may be stuck, or the connection; a second copy may be quicker.
--- a/src/policy/replica.h
+++ b/src/policy/replica.h
@@ -6,9 +6,11 @@
 #include <vector>
 
 #include "fernward/choice.h"
+#include "health/health.h"
 #include "limits/gate.h"
 #include "placement/ring.h"
 #include "policy/trend.h"
+#include "requests/report.h"
 
 namespace fernward {
 
@@ -26,11 +28,10 @@
   Trend trend;
   std::vector<float> last_report;
   // health
-  int strikes = 0;
-  double failing = 0; // share of its attempts that fail
-  bool ejected = false, trial_out = false;
+  health::Health health;
+  double failing = 0;           // share of its attempts that fail
   double overtaken_at = kNever; // the latest send that was answered
-  double heard_at = kNever, probed_at = kNever, trial_at = 0, eject_ms = 0;
+  double probed_at = kNever;
   limits::Gate gate{1}; // of a cache
   // slow start
   double cold_since = kNever;
@@ -80,14 +81,7 @@
   bool report(double now, const std::vector<ReportField>& fields, const std::vector<float>& values) {
     if (values.empty() || values == last_report) return false;
     last_report = values;
-    double waiting = -1, inflight = -1, latency = -1;
-    for (std::size_t i = 0; i < std::min(values.size(), fields.size()); ++i) {
-      if (!usable_number(values[i])) continue;
-      if (fields[i] == ReportField::Queue) waiting = values[i];
-      if (fields[i] == ReportField::Inflight) inflight = values[i];
-      if (fields[i] == ReportField::LatencyMs) latency = values[i];
-    }
-    if (waiting < 0) waiting = inflight;
+    const auto [waiting, latency] = reported(fields, values);
     if (latency > 0) {
       const double sample = latency / (1 + std::max(waiting, 0.0));
       if (service_ms == 0) service_ms = sample;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -5,6 +5,7 @@
 
 #include "config/json.h"
 #include "log/log.h"
+#include "shared/advice.h"
 
 namespace fernward::router {
 
@@ -179,16 +180,18 @@
   options.peers = fleet.peers;
   options.rules = {fleet.period_ms, fleet.asked};
   options.seed = config_.seed;
-  const auto own = [this] {
-    const fernward::Balancer::Ledger ledger = driver_.ledger();
-    return shared::Own{ledger.demand, ledger.limit};
+  if (const auto zone = config_.settings.zone) options.zone = static_cast<std::uint8_t>(*zone);
+  const shared::Uses uses{fleet.ledger, fleet.count, fleet.findings};
+  const auto own = [this, uses] { return shared::own_of(driver_.balancer(), uses); };
+  const auto heard = [this, uses](shared::Fleet& told, double now) {
+    std::vector<fernward::Event> events;
+    shared::advise(now, told.view(now), told, uses, events);
+    driver_.fleet(std::move(events));
   };
-  const auto view = [this, ledger = fleet.ledger, count = fleet.count](const shared::View& v) {
-    driver_.fleet({count ? v.living : 0, ledger ? v.ledger_part : 0});
-  };
-  peers_ = std::make_unique<peering::Link>(base_, deadlines_, options, peering::Calls{own, view});
+  peers_ = std::make_unique<peering::Link>(base_, deadlines_, options, peering::Calls{own, heard});
   figures_.gauge("fleet_living", [this] { return static_cast<double>(peers_->fleet().members().living()); });
   figures_.gauge("fleet_limit", [this] { return 1000 * driver_.ledger().limit; });
+  figures_.gauge("fleet_doubted", [this] { return static_cast<double>(peers_->fleet().doubted()); });
   figures_.gauge("fleet_heard", [this] { return peers_->fleet().view(loop::now_ms()).heard; });
 }
 
--- a/src/setup/fleet.cpp
+++ b/src/setup/fleet.cpp
@@ -27,6 +27,7 @@
   v.enter("share", "what is told, and used");
   v.flag("ledger", f.ledger, "the limit at the ledger, dealt out by demand");
   v.flag("count", f.count, "living routers, in place of the configured number where that is safe");
+  v.flag("findings", f.findings, "what several routers say together of a cache node");
   v.leave();
 }
 
--- a/src/shared/facts.cpp
+++ b/src/shared/facts.cpp
@@ -9,12 +9,15 @@
 using members::get;
 using members::put;
 
-// u8 length, u16 owner, u32 incarnation, u16 sequence, u16 age in 10 ms, then u16 a quantity. A longer one has quantities
-// that this version does not know; a shorter one lacks some, which then count as not said.
+// An entry: u16 owner, u32 incarnation, u16 sequence, u16 age in 10 ms, then u16 a quantity. A longer one has quantities
+// that this version does not know; a shorter one lacks some and is not enough to go by.
 constexpr std::size_t kHead = 10, kLength = kHead + 2 * kFacts;
 constexpr double kAgeUnit = 10, kMostAge = 65535 * kAgeUnit;
-constexpr double kMedians = 8;        // a value counts as so many times the median at most
-constexpr double kLeastMedian = 0.25; // attempts: a median below it is of routers that are hardly asked
+// What a router that asks for nothing keeps, as a share of the usual demand and in attempts: it may be asked at any time.
+constexpr double kIdlePart = 0.25, kLeastIdle = 0.25;
+constexpr std::size_t kTrimmed = 8;           // of so many words one is left out, and one at least
+constexpr double kMedians = 8;                // a demand counts as so many times the median at most
+constexpr std::size_t kWanted = 256;          // own demands that are kept
 constexpr double kSteps = 65534, kSpan = 1e7; // of the logarithmic scale from 1/1024 up
 
 std::uint16_t scaled(double value) {
@@ -31,6 +34,10 @@
 void Facts::own(double now, Stamp stamp, const Values& values) {
   Entry& e = all_[self_];
   e = {stamp, now, values, true, true};
+  while (!wanted_.empty() &&
+         (now - wanted_.front().first > kQuantities[0].gone_ms || wanted_.size() >= kWanted))
+    wanted_.pop_front();
+  wanted_.emplace_back(now, usable_number(values[0]) ? values[0] : 0);
   for (std::size_t i = 0; i < kFacts; ++i) {
     if (!usable_number(e.values[i])) e.values[i] = 0;
     e.values[i] = std::clamp(e.values[i], kQuantities[i].least, kQuantities[i].most);
@@ -64,7 +71,7 @@
 }
 
 void Facts::write_one(double now, Id owner, const Entry& e, std::string& to) const {
-  put(to, static_cast<std::uint8_t>(kLength));
+  put_entry_head(to, Kind::Quantities, kLength);
   put(to, owner);
   put(to, e.stamp.incarnation);
   put(to, e.stamp.sequence);
@@ -73,7 +80,7 @@
 }
 
 std::string Facts::write(double now, std::size_t room) {
-  constexpr std::size_t kEach = kLength + 1;
+  constexpr std::size_t kEach = kEntryHead + kLength;
   std::string bytes;
   if (room < kEach || !all_[self_].known) return bytes;
   write_one(now, self_, all_[self_], bytes);
@@ -91,22 +98,17 @@
 }
 
 void Facts::read(double now, Id from, std::string_view bytes, std::vector<Told>& told) {
-  while (!bytes.empty()) {
-    const std::size_t length = get<std::uint8_t>(bytes, 0);
-    if (length < kHead || bytes.size() < 1 + length) {
-      ++passed_over_;
-      return;
-    }
-    const std::string_view one = bytes.substr(1, length);
-    bytes.remove_prefix(1 + length);
+  while (const auto entry = next_entry(bytes)) {
+    const std::string_view one = entry->bytes;
+    if (entry->kind != static_cast<std::uint8_t>(Kind::Quantities) || one.size() < kLength) continue;
     const Id owner = get<Id>(one, 0);
     const Stamp stamp{get<std::uint32_t>(one, 2), get<std::uint16_t>(one, 6)};
     const double age = get<std::uint16_t>(one, 8) * kAgeUnit;
     Values values{};
-    if (length < kLength) continue; // of a version that says less: not enough to go by
     for (std::size_t i = 0; i < kFacts; ++i) values[i] = unscaled(get<std::uint16_t>(one, kHead + 2 * i));
     if (merge(now, owner, stamp, age, values, owner == from)) told.push_back({owner, stamp});
   }
+  passed_over_ += !bytes.empty(); // a damaged tail
 }
 
 std::size_t Facts::heard(double now) const {
@@ -115,25 +117,58 @@
   return n;
 }
 
-Facts::Mean Facts::mean(double now, What what) {
-  const auto at = static_cast<std::size_t>(what);
-  const Quantity& q = kQuantities[at];
-  scratch_.clear();
+void Facts::gather(double now) {
+  heard_.clear();
+  const Quantity& q = kQuantities[0];
   for (std::size_t i = 0; i < all_.size(); ++i) {
     const Entry& e = all_[i];
     const double age = i == self_ ? 0 : now - e.made_at;
-    if (e.known && age < q.gone_ms) scratch_.emplace_back(e.values[at], std::exp2(-age / q.half_life_ms));
+    if (!e.known || age >= q.gone_ms) continue;
+    heard_.push_back({e.values[static_cast<std::size_t>(What::Demand)],
+                      e.values[static_cast<std::size_t>(What::Limit)], std::exp2(-age / q.half_life_ms), age,
+                      i == self_});
   }
-  if (scratch_.empty()) return {};
-  const auto middle = scratch_.begin() + static_cast<std::ptrdiff_t>(scratch_.size() / 2);
-  std::nth_element(scratch_.begin(), middle, scratch_.end());
-  const double most = kMedians * std::max(middle->first, kLeastMedian);
-  double sum = 0, weights = 0;
-  for (const auto& [value, weight] : scratch_) {
-    sum += weight * std::min(value, most);
-    weights += weight;
+}
+
+double Facts::demand_before(double then) const {
+  double wanted = wanted_.empty() ? 0 : wanted_.front().second;
+  for (const auto& [at, demand] : wanted_) {
+    if (at > then) break;
+    wanted = demand;
+  }
+  return wanted;
+}
+
+double Facts::demand(double now) {
+  gather(now);
+  if (heard_.empty()) return 0;
+  const auto middle = heard_.begin() + static_cast<std::ptrdiff_t>(heard_.size() / 2);
+  std::nth_element(heard_.begin(), middle, heard_.end(),
+                   [](const Heard& a, const Heard& b) { return a.demand < b.demand; });
+  return middle->demand;
+}
+
+double Facts::part(double now) {
+  const double usual = demand(now), idle = std::max(kIdlePart * usual, kLeastIdle);
+  const double most = kMedians * std::max(usual, kLeastIdle);
+  const std::size_t n = heard_.size();
+  if (n == 0) return 0;
+  double ages = 0, weights = 0;
+  for (const Heard& h : heard_) {
+    ages += h.own ? 0 : h.weight * h.age;
+    weights += h.own ? 0 : h.weight;
+  }
+  const double mine = demand_before(now - (weights > 0 ? ages / weights : 0));
+  for (Heard& h : heard_) h.demand = std::min(h.own ? mine : h.demand, most) + idle;
+  std::sort(heard_.begin(), heard_.end(),
+            [](const Heard& a, const Heard& b) { return a.limit * b.demand < b.limit * a.demand; });
+  const std::size_t low = n < 3 ? 0 : 1, high = n < 3 ? 0 : std::max<std::size_t>(1, n / kTrimmed);
+  double limits = 0, demands = 0;
+  for (std::size_t i = low; i < n - high; ++i) {
+    limits += heard_[i].weight * heard_[i].limit;
+    demands += heard_[i].weight * heard_[i].demand;
   }
-  return {sum / weights, most};
+  return limits / demands * (std::min(mine, most) + idle);
 }
 
 } // namespace fernward::shared
--- a/src/shared/facts.h
+++ b/src/shared/facts.h
@@ -15,12 +15,14 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "members/wire.h"
 #include "numbers/numbers.h"
+#include "shared/entries.h"
 
 namespace fernward::shared {
 
@@ -44,9 +46,9 @@
 };
 inline constexpr std::array<Quantity, kFacts> kQuantities = {{
     {"demand", 0, 4096, 4000, 12000, "all want as much as this one: each keeps its own limit",
-     "one of n words, counted as eight times the median at most: takes 8/n of the others' parts"},
+     "none on others' parts: each is dealt out by its own demand"},
     {"limit", 1.0 / 1024, 4096, 4000, 12000, "the router's own limit, as it learned it alone",
-     "as above: raises all parts by 8/n; what the ledger's answers show cuts them again"},
+     "with fewer liars than an eighth (than two, in small tiers): parts stay within what honest ones have"},
 }};
 
 using Values = std::array<double, kFacts>;
@@ -68,12 +70,14 @@
   // All of a datagram's facts from `from`; what was new is appended, for members. A damaged tail is passed over.
   void read(double now, Id from, std::string_view bytes, std::vector<Told>& told);
 
-  // The mean over this router and all whose word is not gone, by age; none heard: its own value. Values over eight times
-  // the median count as that: `most`.
-  struct Mean {
-    double value = 0, most = 0;
-  };
-  Mean mean(double now, What what);
+  // The usual demand: the median over this router and all whose word is not gone.
+  double demand(double now);
+  // This router's part of what all hold at the ledger, in proportion to demand and an idle part of it. All is taken as it
+  // was when the others' words were made, its own demand too: one of now against those would deal out more than there is
+  // while demand rises. So the parts of all add up to what they hold. Left out are the eighth that hold the most for what
+  // they want and the one that holds the least: a liar's word moves no part beyond what honest ones have, in however many
+  // rounds.
+  double part(double now);
   std::size_t heard(double now) const; // routers whose word counts, without this one
 
   std::uint64_t passed_over() const { return passed_over_; }
@@ -90,7 +94,14 @@
   Id self_;
   Random random_;
   std::vector<Entry> all_;
-  std::vector<std::pair<double, double>> scratch_; // value and weight
+  struct Heard {
+    double demand, limit, weight, age;
+    bool own;
+  };
+  double demand_before(double then) const; // this router's
+  void gather(double now);
+  std::vector<Heard> heard_;                     // scratch
+  std::deque<std::pair<double, double>> wanted_; // by this router: when, and how much
   std::uint64_t passed_over_ = 0;
 };
 
--- a/src/shared/fleet.cpp
+++ b/src/shared/fleet.cpp
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr double kEpochMs = 1577836800000; // 2020
-// What a router that asks for nothing keeps, as a share of the mean demand: it may be asked at any time.
-constexpr double kIdlePart = 0.25;
 // Bytes of facts in a datagram: the sender's own and four others'. At four rounds a second and 300 routers that is half of
 // the tier within a half-life.
 constexpr std::size_t kFactsRoom = 80;
@@ -19,14 +17,17 @@
 }
 
 Fleet::Fleet(Id self, std::size_t count, std::uint32_t incarnation, const members::Rules& rules,
-             std::uint64_t seed)
-    : members_(self, count, incarnation, rules, seed), facts_(self, count, seed) {}
+             std::uint64_t seed, std::uint8_t zone)
+    : members_(self, count, incarnation, rules, seed),
+      facts_(self, count, seed),
+      findings_(self, zone, seed) {}
 
 void Fleet::tick(double now, const Own& own, std::vector<Out>& out) {
   own_ = own;
   members_.tick(now, packets_);
-  const double demand = own.demand >= 0 ? own.demand : facts_.mean(now, What::Demand).value;
+  const double demand = own_.demand >= 0 ? own_.demand : facts_.demand(now);
   facts_.own(now, members_.stamp(), {demand, own.limit});
+  findings_.own(now, members_.stamp(), own.findings);
   send(now, out);
 }
 
@@ -40,6 +41,7 @@
   ++counts_.taken;
   told_.clear();
   facts_.read(now, from, d->facts, told_);
+  findings_.read(now, from, d->facts);
   for (const auto& t : told_) members_.heard(t.owner, t.stamp);
   send(now, out);
   return true;
@@ -52,7 +54,9 @@
 
 void Fleet::send(double now, std::vector<Out>& out) {
   for (members::Packet& p : packets_) {
-    p.what.facts = facts_.write(now, std::min(kFactsRoom, members::room_for_facts(p.what)));
+    const std::size_t room = members::room_for_facts(p.what);
+    p.what.facts = facts_.write(now, std::min(kFactsRoom, room));
+    p.what.facts += findings_.write(now, std::min(Findings::kRoom, room - p.what.facts.size()));
     out.push_back({p.to, members::encode(p.what)});
     ++counts_.sent;
     counts_.sent_bytes += out.back().bytes.size();
@@ -64,18 +68,13 @@
   View v;
   v.living = static_cast<double>(members_.living());
   v.heard = static_cast<double>(facts_.heard(now));
-  const auto [demand, most] = facts_.mean(now, What::Demand);
-  if (v.heard == 0 || demand <= 0) return v;
-  // Counted as it is in the mean, or the parts would add up to more than the whole.
-  const double mine = own_.demand >= 0 ? std::min(own_.demand, most) : demand;
-  v.ledger_part =
-      facts_.mean(now, What::Limit).value * (mine + kIdlePart * demand) / ((1 + kIdlePart) * demand);
+  if (v.heard > 0) v.ledger_part = facts_.part(now);
   return v;
 }
 
 Counts Fleet::counts() const {
   Counts c = counts_;
-  c.passed_over = members_.passed_over() + facts_.passed_over();
+  c.passed_over = members_.passed_over() + facts_.passed_over() + findings_.passed_over();
   return c;
 }
 
--- a/src/shared/fleet.h
+++ b/src/shared/fleet.h
@@ -5,8 +5,8 @@
 //  - Ownership: datagrams are appended to the caller's vector.
 //  - What is advice stays advice: the view has a part of the ledger's limit only while others were heard lately, and
 //    whoever takes it goes on learning by itself.
-//  - In a cut each side shares what its own routers hold: the parts of a side are the mean of its limits, dealt out by
-//    demand, so their sum is the sum of its limits, and all sides together never hold more than was held before.
+//  - In a cut each side shares what its own routers hold: the parts of a side are what its limits come to for each
+//    attempt wanted, dealt out by demand, so their sum is about the sum of its limits, and all sides together never hold more than was held before.
 #pragma once
 
 #include <cstdint>
@@ -16,12 +16,14 @@
 
 #include "members/members.h"
 #include "shared/facts.h"
+#include "shared/findings.h"
 
 namespace fernward::shared {
 
-struct Own {          // what this router has to say of the ledger
+struct Own {          // what this router has to say of the ledger, and of the cache nodes
   double demand = -1; // below 0: not known yet
   double limit = 0;
+  std::vector<Finding> findings = {};
 };
 
 struct View {
@@ -37,7 +39,7 @@
 class Fleet {
  public:
   Fleet(Id self, std::size_t count, std::uint32_t incarnation, const members::Rules& rules,
-        std::uint64_t seed);
+        std::uint64_t seed, std::uint8_t zone = kNoZone);
 
   struct Out {
     Id to;
@@ -50,6 +52,9 @@
   void leave(double now, std::vector<Out>& out);
 
   View view(double now);
+  // What several routers say together of cache nodes, where it differs from the last time; appended.
+  void verdicts(double now, std::vector<Verdict>& to) { findings_.changes(now, to); }
+  std::size_t doubted() const { return findings_.standing(); } // cache nodes, by the last verdicts
   const members::Members& members() const { return members_; }
   Counts counts() const;
 
@@ -58,6 +63,7 @@
 
   members::Members members_;
   Facts facts_;
+  Findings findings_;
   Own own_;
   Counts counts_;
   std::vector<members::Packet> packets_;
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -438,6 +438,7 @@
     last = std::move(e);
   }
   double wait_until(loop::Handle) override { return 1e15; }
+  bool wanted(loop::Handle) override { return waits; }
   bool begin(loop::Handle, exchange::Opening) override { return false; }
   std::size_t room(loop::Handle) override { return 0; }
   void pass(loop::Handle, std::string_view, loop::Block&) override {}
@@ -453,6 +454,7 @@
   figures::Figures figures{{"read"}};
   std::vector<Result> endings;
   exchange::Ending last;
+  bool waits = true; // the request of every attempt
   int connections_seen = 0;
   Peer peer{base.get(), [](const http::Message&) { return ok("v"); }};
   std::unique_ptr<egress::Pool> pool;
@@ -473,6 +475,22 @@
   CHECK(w.peer.seen.empty());
 }
 
+// Found on full-size days: a booking was refused while its connection to the ledger came up, and written 33 ms later.
+TEST_CASE(
+    "a connection that comes up after its request had its final answer sends nothing, and serves the next") {
+  PoolWorld w;
+  REQUIRE(w.start(1) == Start::Begun);
+  w.waits = false;
+  CHECK(run_until(w.base.get(), [&] { return !w.endings.empty(); }));
+  CHECK(w.endings.at(0) == Result::Moot);
+  w.waits = true;
+  REQUIRE(w.start(2) == Start::Begun);
+  CHECK(run_until(w.base.get(), [&] { return w.endings.size() == 2; }));
+  REQUIRE(w.peer.seen.size() == 1);
+  CHECK(w.peer.seen[0].target == "/k/2");
+  CHECK(w.peer.connections == 1);
+}
+
 TEST_CASE("a connection that comes up after its attempt was given up sends nothing, and serves the next") {
   PoolWorld w;
   REQUIRE(w.start(1) == Start::Begun);
--- /dev/null
+++ b/tests/policy/findings_use_test.cpp
@@ -0,0 +1,102 @@
+// What the policy makes of what several routers say together of a cache, and what it has to tell them.
+#include <gtest/gtest.h>
+
+#include "health/health.h"
+#include "support.h"
+
+namespace fernward::testing {
+namespace {
+
+// How many of `n` requests, each answered by the cache asked first, go to `server` first.
+int first_at(Node& node, ServerId server, int n, RequestId& id) {
+  int there = 0;
+  for (int i = 0; i < n; ++i) {
+    ++id;
+    node.request(id, 0x9e3779b97f4a7c15ull * id);
+    const bool met = node.last_server(id) == server;
+    there += met;
+    node.wait(20);
+    node.outcome(id, Result::Ok);
+  }
+  return there;
+}
+
+TEST(FindingsUse, WhatSeveralCallBadIsLeftOutUntilAnOwnTrialSaysOtherwise) {
+  Node node(plain_settings());
+  node.caches(6);
+  RequestId id = 0;
+  node.on(FleetFinding{1, true, node.now});
+  EXPECT_TRUE(node.balancer().avoids(1));
+  EXPECT_EQ(first_at(node, 1, 5, id), 0);
+  node.wait(3000);
+  EXPECT_GE(first_at(node, 1, 40, id), 1); // its trial was answered well
+  EXPECT_FALSE(node.balancer().avoids(1));
+}
+
+TEST(FindingsUse, AnOwnGoodAnswerThatIsYoungerOutweighsWhatOthersSay) {
+  Node node(plain_settings());
+  node.caches(6);
+  RequestId id = 0;
+  const double seen = node.now;
+  while (first_at(node, 1, 1, id) == 0) {}
+  node.on(FleetFinding{1, true, seen});
+  EXPECT_FALSE(node.balancer().avoids(1));
+  node.on(FleetFinding{1, true, node.now + 1}); // younger than that answer
+  EXPECT_TRUE(node.balancer().avoids(1));
+}
+
+TEST(FindingsUse, ThatOthersHadAnswersBringsTheTrialForwardUnlessTheOwnEvidenceIsYounger) {
+  health::Health told;
+  EXPECT_TRUE(told.told_bad(900));
+  EXPECT_FALSE(told.told_bad(950)); // it is out already
+  told.wait(1000, 300, 0.5);
+  EXPECT_FALSE(told.trial_due(1000));
+  told.told_well(1000, 990);
+  EXPECT_TRUE(told.trial_due(1000));
+  told.sent();
+  told.told_well(1000, 995);
+  EXPECT_FALSE(told.trial_due(1000)); // one at a time
+  health::Health seen;
+  for (int i = 0; i < 3; ++i) seen.struck(1000, 1, false);
+  seen.wait(1000, 300, 0.5);
+  seen.told_well(1010, 990);
+  EXPECT_FALSE(seen.trial_due(1010));
+}
+
+TEST(FindingsUse, ItTellsWhatItHasSeenItselfAndPassesNoHearsayOn) {
+  Node node(plain_settings());
+  node.caches(6);
+  RequestId id = 0;
+  first_at(node, 0, 60, id);
+  node.on(FleetFinding{1, true, node.now + 1});
+  const auto lost_at = [&](ServerId server) {
+    std::vector<Balancer::Finding> all;
+    node.balancer().findings(all);
+    for (const auto& f : all) {
+      if (f.server == server) return static_cast<int>(f.lost);
+    }
+    return -1;
+  };
+  EXPECT_EQ(lost_at(1), 0); // of an answer before that
+  // Two attempts refused in a row are its own evidence.
+  for (int lost = 0; lost < 1;) {
+    ++id;
+    node.request(id, 0x9e3779b97f4a7c15ull * id);
+    const bool met = node.last_server(id) == 2;
+    node.wait(20);
+    node.outcome(id, met ? Result::ConnectFailed : Result::Ok);
+    lost += met;
+  }
+  EXPECT_EQ(lost_at(2), 2);
+}
+
+TEST(FindingsUse, WordsOnUnknownServersAndTheOriginArePassedOver) {
+  Node node(aside_settings());
+  node.caches(3, true);
+  node.on(FleetFinding{77, true, node.now});
+  node.on(FleetFinding{kOrigin, true, node.now});
+  for (const ServerId server : {77u, kOrigin}) EXPECT_FALSE(node.balancer().avoids(server));
+}
+
+} // namespace
+} // namespace fernward::testing
--- a/tests/support.h
+++ b/tests/support.h
@@ -124,6 +124,8 @@
            std::any_of(refused.begin(), refused.end(), [id](const Refuse& r) { return r.id == id; });
   }
 
+  const Balancer& balancer() const { return balancer_; }
+
   std::vector<Send> sends;
   std::vector<Refuse> refused;
   std::vector<RequestId> failed;
