--- /dev/null
+++ b/lab/storm/format.h
@@ -0,0 +1,19 @@
+// Text by a printf pattern, for what storms report: 511 characters at most, the rest is left out.
+#pragma once
+
+#include <cstdarg>
+#include <cstdio>
+#include <string>
+
+namespace fernward::lab::storm {
+
+__attribute__((format(printf, 1, 2))) inline std::string format(const char* pattern, ...) {
+  char text[512];
+  va_list arguments;
+  va_start(arguments, pattern);
+  std::vsnprintf(text, sizeof text, pattern, arguments);
+  va_end(arguments);
+  return text;
+}
+
+} // namespace fernward::lab::storm
--- a/lab/storm/oracles.cpp
+++ b/lab/storm/oracles.cpp
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "lab/storm/draw.h"
+#include "lab/storm/format.h"
 
 namespace fernward::lab::storm {
 
@@ -33,16 +34,6 @@
 constexpr double kAttemptsATry = 2.2;  // at caches, on the whole: retries and copies are a minority
 constexpr double kConnectionsARequest = 2.5;
 
-std::string text(const char* pattern, ...) __attribute__((format(printf, 1, 2)));
-std::string text(const char* pattern, ...) {
-  char out[256];
-  va_list arguments;
-  va_start(arguments, pattern);
-  std::vsnprintf(out, sizeof out, pattern, arguments);
-  va_end(arguments);
-  return out;
-}
-
 Verdict unjudged(std::string why) { return {false, 0, std::move(why)}; }
 
 // Broken once is beyond the bound, and often is further.
@@ -52,14 +43,14 @@
   if (!f.judged) return unjudged("switched off");
   if (f.breaches == 0) return {};
   return {true, 1 + std::log2(static_cast<double>(f.breaches)),
-          text("%llu times; first at %.0f ms: ", static_cast<unsigned long long>(f.breaches),
-               f.first.front().at_ms) +
+          format("%llu times; first at %.0f ms: ", static_cast<unsigned long long>(f.breaches),
+                 f.first.front().at_ms) +
               f.first.front().what};
 }
 
 Verdict ends(const Evidence& e) {
   if (!e.seen.endless) return {};
-  return {true, 2, text("at %.0f ms more had been done than it can ask for", e.seen.endless_at)};
+  return {true, 2, format("at %.0f ms more had been done than it can ask for", e.seen.endless_at)};
 }
 
 // Chance in the service of a window: as of so many requests that are served or not.
@@ -81,10 +72,10 @@
   if (e.seen.endless) return unjudged("the run was ended");
   const double ended = last_end(e.spec);
   const double calm = over(e.calm->whole, ended, e.spec.duration_ms).service();
-  if (calm < kCalmFrom) return unjudged(text("it serves %.1f%% on a calm day", 100 * calm));
+  if (calm < kCalmFrom) return unjudged(format("it serves %.1f%% on a calm day", 100 * calm));
   const double used = used_after(e.spec, e.plan);
   if (used > kNodesFullFrom)
-    return unjudged(text("nodes are asked for %.0f%% of what they can do", 100 * used));
+    return unjudged(format("nodes are asked for %.0f%% of what they can do", 100 * used));
   const double refill = refill_ms(e.spec, lost_contents(e.plan), steady_at_origin(e));
   const double from = ended + settle_ms(e.spec) + refill;
   if (!(from + kWindowMs <= e.spec.duration_ms)) return unjudged("caches are not full again before its end");
@@ -95,8 +86,8 @@
     const double distance = (calm - now.service()) / std::max(1e-9, calm - least);
     if (now.drawn == 0 || distance <= worst.distance) continue;
     worst = {true, distance,
-             text("%.1f%% from %.0f ms on, %.0f ms after the last fault; calm %.1f%%, bound %.1f%%",
-                  100 * now.service(), at, at - ended, 100 * calm, 100 * least)};
+             format("%.1f%% from %.0f ms on, %.0f ms after the last fault; calm %.1f%%, bound %.1f%%",
+                    100 * now.service(), at, at - ended, 100 * calm, 100 * least)};
   }
   return worst;
 }
@@ -109,7 +100,7 @@
   const double bound = kAddsUp + 2 * chance(many, four.service());
   const double behind = four.service() - many.service();
   return {true, std::max(0.0, behind / bound),
-          text("%.1f%%, with four routers %.1f%%", 100 * many.service(), 100 * four.service())};
+          format("%.1f%%, with four routers %.1f%%", 100 * many.service(), 100 * four.service())};
 }
 
 // Faults that take a zone's service whatever routers do.
@@ -192,8 +183,8 @@
       if (g.by == Group::By::Zone && zone_struck(e, g.number, from, to)) continue;
       if (g.by == Group::By::Class && origin_struck(e, from, to)) continue;
       worst = {true, distance,
-               name_of(e.spec, g) + text(" was served %.1f%% from %.0f to %.0f ms, the others %.1f%%",
-                                         100 * served, from, to, 100 * others)};
+               name_of(e.spec, g) + format(" was served %.1f%% from %.0f to %.0f ms, the others %.1f%%",
+                                           100 * served, from, to, 100 * others)};
     }
   }
   return worst;
@@ -203,8 +194,8 @@
   if (e.seen.alone == 0) return {};
   return {
       true, 1 + std::log2(static_cast<double>(e.seen.alone)),
-      text("%llu attempts; ", static_cast<unsigned long long>(e.seen.alone)) + e.seen.alone_what +
-          text(" at %.0f ms, %.0f ms after all others had withdrawn it", e.seen.alone_at, e.seen.alone_ms)};
+      format("%llu attempts; ", static_cast<unsigned long long>(e.seen.alone)) + e.seen.alone_what +
+          format(" at %.0f ms, %.0f ms after all others had withdrawn it", e.seen.alone_at, e.seen.alone_ms)};
 }
 
 // Has a router lied, or been told lies that still count?
@@ -231,8 +222,9 @@
     if (distance <= worst.distance) continue;
     worst = {
         true, distance,
-        text("at %.0f ms %u routers had parts of %.1f together, and limits of %.1f within what a fact lives",
-             h.at, h.routers, h.parts, most)};
+        format(
+            "at %.0f ms %u routers had parts of %.1f together, and limits of %.1f within what a fact lives",
+            h.at, h.routers, h.parts, most)};
   }
   return worst;
 }
@@ -247,8 +239,8 @@
     const double distance = off / (1 + std::max(1.0, kLivingBeside * h.up));
     if (distance <= worst.distance) continue;
     worst = {true, distance,
-             text("at %.0f ms %u routers run, and are counted as %.0f to %.0f", h.at, h.up, h.least_living,
-                  h.most_living)};
+             format("at %.0f ms %u routers run, and are counted as %.0f to %.0f", h.at, h.up, h.least_living,
+                    h.most_living)};
   }
   return worst;
 }
@@ -257,7 +249,7 @@
   const Work& w = e.seen.work;
   if (w.tries < 200) return unjudged("too few tries");
   const double each = static_cast<double>(w.at_caches) / static_cast<double>(w.tries);
-  return {true, each / kAttemptsATry, text("%.2f attempts at caches a try", each)};
+  return {true, each / kAttemptsATry, format("%.2f attempts at caches a try", each)};
 }
 
 Verdict bounded_connections(const Evidence& e) {
@@ -268,7 +260,7 @@
       4.0 * static_cast<double>(e.plan.routers.size()) * static_cast<double>(e.plan.machines.size());
   const double bound = base + kConnectionsARequest * 0.4 * static_cast<double>(w.tries);
   return {true, w.connections / bound,
-          text("%.0f connections for %llu tries", w.connections, static_cast<unsigned long long>(w.tries))};
+          format("%.0f connections for %llu tries", w.connections, static_cast<unsigned long long>(w.tries))};
 }
 
 } // namespace
--- a/lab/storm/page.cpp
+++ b/lab/storm/page.cpp
@@ -7,20 +7,11 @@
 #include <stdexcept>
 
 #include "lab/scenario/read.h"
+#include "lab/storm/format.h"
 
 namespace fernward::lab::storm {
 namespace {
 
-std::string format(const char* pattern, ...) __attribute__((format(printf, 1, 2)));
-std::string format(const char* pattern, ...) {
-  char text[512];
-  va_list arguments;
-  va_start(arguments, pattern);
-  std::vsnprintf(text, sizeof text, pattern, arguments);
-  va_end(arguments);
-  return text;
-}
-
 std::string escaped(const std::string& text) {
   std::string out;
   for (const char c : text) {
