Peering: datagrams are read at wakes that happen anyway, none wakes the process

What sharing cost at a few requests a second was its wakes: 13 a second above 10. No request waits for a datagram, so the link has no readiness event and no timer of its own any more: Deadlines::within() runs a thing with the first other deadline in a span of time, the policy's tick first of all, and the link reads what has come and begins a round that is due there.

A test that is skipped unless asked for measures it: COST="250ms 0 3" fernward_peering_tests --no-skip -tc="cost*".

--- a/src/loop/deadlines.cpp
+++ b/src/loop/deadlines.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace fernward::loop {
 namespace {
@@ -42,12 +43,20 @@
   return Ticket{slots_[slot].generation} << 32 | slot;
 }
 
-void Deadlines::cancel(Ticket& ticket) {
+Deadlines::Ticket Deadlines::within(double from, double until, std::function<void()> what) {
+  const Ticket ticket = at(until, std::move(what));
+  early_.push_back({from, ticket});
+  return ticket;
+}
+
+bool Deadlines::waits(Ticket ticket) const {
   const auto slot = static_cast<std::uint32_t>(ticket);
-  const auto generation = static_cast<std::uint32_t>(ticket >> 32);
-  ticket = 0; // an armed timer that finds nothing due arms itself anew
-  if (generation == 0 || slot >= slots_.size() || slots_[slot].generation != generation) return;
-  remove(slots_[slot].place);
+  return ticket >> 32 != 0 && slot < slots_.size() && slots_[slot].generation == ticket >> 32;
+}
+
+void Deadlines::cancel(Ticket& ticket) {
+  const Ticket which = std::exchange(ticket, 0); // an armed timer that finds nothing due arms itself anew
+  if (waits(which)) remove(slots_[static_cast<std::uint32_t>(which)].place);
 }
 
 void Deadlines::run() {
@@ -58,6 +67,12 @@
   while (!heap_.empty() && heap_.front().when <= now && heap_.front().order <= newest) {
     remove(0)(); // out first: the call may change the heap
   }
+  for (std::size_t i = early_.size(); i > 0; --i) { // from the end: what is added meanwhile waits, too
+    const Early one = early_[i - 1];
+    if (waits(one.ticket) && one.from > now) continue;
+    early_.erase(early_.begin() + static_cast<std::ptrdiff_t>(i - 1));
+    if (waits(one.ticket)) remove(slots_[static_cast<std::uint32_t>(one.ticket)].place)();
+  }
   arm();
 }
 
--- a/src/loop/deadlines.h
+++ b/src/loop/deadlines.h
@@ -27,6 +27,9 @@
   Deadlines& operator=(const Deadlines&) = delete;
 
   Ticket at(double when, std::function<void()> what);
+  // For what nothing waits for: with the first other deadline from `from` on, so that it needs no wake of its own, and at
+  // `until` without one.
+  Ticket within(double from, double until, std::function<void()> what);
   void cancel(Ticket& ticket); // sets it to 0; harmless for one that has passed
   std::size_t size() const { return heap_.size(); }
 
@@ -47,8 +50,14 @@
     std::uint32_t generation = 1; // of its tickets
   };
 
+  struct Early {
+    double from;
+    Ticket ticket;
+  };
+
   static void fired(int, short, void* self) { static_cast<Deadlines*>(self)->run(); }
   void run();
+  bool waits(Ticket ticket) const;
   void arm();
   void put(std::size_t place, Entry entry);
   void up(std::size_t place, Entry entry);
@@ -58,6 +67,7 @@
   std::vector<Entry> heap_;
   std::vector<Slot> slots_;
   std::vector<std::uint32_t> free_;
+  std::vector<Early> early_; // few: looked through at each wake
   std::uint64_t last_ = 0;
   double armed_for_ = 0; // 0: not armed
   EventPtr timer_;
--- a/src/peering/link.cpp
+++ b/src/peering/link.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -16,6 +17,9 @@
 namespace {
 
 constexpr int kAtOnce = 64; // datagrams read before others have their turn
+// An answer takes two looks, this router's and the other's, and is to be there before the next round. Beyond 112 ms the
+// policy's tick, each 100 ms, has come by.
+constexpr double kLookTurns = 0.45, kLookMs = 112;
 constexpr double kOpenAgainMs = 100;
 constexpr int kReceived = 256 * 1024; // bytes that the kernel keeps while this process does something else
 
@@ -23,10 +27,10 @@
 
 } // namespace
 
-Link::Link(event_base* base, loop::Deadlines& deadlines, const Options& options, Calls calls)
-    : base_(base),
-      deadlines_(deadlines),
+Link::Link(loop::Deadlines& deadlines, const Options& options, Calls calls)
+    : deadlines_(deadlines),
       calls_(std::move(calls)),
+      look_ms_(std::min(kLookMs, kLookTurns * options.rules.period_ms)),
       fleet_(options.self, options.peers.size(), shared::incarnation_at(loop::now_ms()), options.rules,
              options.seed, options.zone) {
   if (!config::parse_address(options.listen, listen_))
@@ -43,7 +47,6 @@
 
 Link::~Link() {
   deadlines_.cancel(ticket_);
-  reads_.reset();
   if (socket_ >= 0) close(socket_);
 }
 
@@ -57,23 +60,36 @@
     return;
   }
   setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &kReceived, sizeof kReceived);
-  reads_.reset(event_new(base_, socket_, EV_READ | EV_PERSIST, &Link::readable, this));
-  if (reads_ == nullptr || event_add(reads_.get(), nullptr) != 0) throw std::bad_alloc();
-  round();
+  const double now = loop::now_ms();
+  round(now);
+  look_again(now, false);
 }
 
-void Link::round() {
+void Link::look() {
   ticket_ = 0;
+  const bool more = read();
   const double now = loop::now_ms();
+  if (now + look_ms_ / 2 >= fleet_.next())
+    round(now); // the nearest look: rounds come as often as they should
+  look_again(now, more);
+}
+
+void Link::look_again(double now, bool more) {
+  ticket_ =
+      deadlines_.within(more ? now : now + look_ms_ / 2, more ? now : now + look_ms_, [this] { look(); });
+}
+
+void Link::round(double now) {
   fleet_.tick(now, calls_.own(), out_);
   send();
   calls_.heard(fleet_, now);
-  ticket_ = deadlines_.at(fleet_.next(), [this] { round(); });
 }
 
-void Link::read() {
+// True: there may be more.
+bool Link::read() {
+  int i = 0;
   std::array<char, members::kMostBytes + 1> bytes;
-  for (int i = 0; i < kAtOnce; ++i) {
+  for (; i < kAtOnce; ++i) {
     sockaddr_in from{};
     socklen_t size = sizeof from;
     const ssize_t got =
@@ -90,10 +106,12 @@
     fleet_.take(loop::now_ms(), peer->second, {bytes.data(), static_cast<std::size_t>(got)}, out_);
   }
   send();
-  if (heard_) return;
-  const double now = loop::now_ms();
-  heard_ = fleet_.view(now).heard > 0;
-  if (heard_) calls_.heard(fleet_, now); // one that comes back need not wait for the next round
+  if (!heard_) {
+    const double now = loop::now_ms();
+    heard_ = fleet_.view(now).heard > 0;
+    if (heard_) calls_.heard(fleet_, now); // one that comes back need not wait for the next round
+  }
+  return i == kAtOnce;
 }
 
 // What the kernel does not take is lost, as the net loses some.
@@ -111,7 +129,6 @@
   if (socket_ < 0) return;
   fleet_.leave(loop::now_ms(), out_);
   send();
-  reads_.reset();
   close(std::exchange(socket_, -1));
 }
 
--- a/src/peering/link.h
+++ b/src/peering/link.h
@@ -1,10 +1,12 @@
 // The socket between routers: carries shared::Fleet's datagrams, and decides nothing.
 //
 // It listens at `peer_listen` and sends from there to the addresses of `peers`; only what comes from one of these counts.
+// No request waits for a datagram, so none wakes the process: what has come is read, and a round that is due is begun, at
+// wakes that other deadlines cause, the policy's tick first of all; by the period's end at the latest.
+//
 // While another process of this router still has the address (it is being replaced), the link tries again.
 #pragma once
 
-#include <event2/event.h>
 #include <netinet/in.h>
 
 #include <functional>
@@ -34,7 +36,7 @@
 
 class Link {
  public:
-  Link(event_base* base, loop::Deadlines& deadlines, const Options& options,
+  Link(loop::Deadlines& deadlines, const Options& options,
        Calls calls); // throws config::Error
   ~Link();
   Link(const Link&) = delete;
@@ -45,21 +47,21 @@
   std::uint64_t strangers() const { return strangers_; } // datagrams from no address of `peers`, or too long
 
  private:
-  static void readable(int, short, void* self) { static_cast<Link*>(self)->read(); }
   void open();
-  void read();
-  void round();
+  void look();
+  void look_again(double now, bool more);
+  bool read();
+  void round(double now);
   void send();
 
-  event_base* base_;
   loop::Deadlines& deadlines_;
   Calls calls_;
   sockaddr_in listen_{};
   std::vector<sockaddr_in> peers_;
   std::unordered_map<std::uint64_t, shared::Id> by_address_;
+  double look_ms_; // at the latest
   shared::Fleet fleet_;
   std::vector<shared::Fleet::Out> out_;
-  loop::EventPtr reads_;
   loop::Deadlines::Ticket ticket_ = 0;
   int socket_ = -1;
   std::uint64_t strangers_ = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -188,7 +188,7 @@
     shared::advise(now, told.view(now), told, uses, events);
     driver_.fleet(std::move(events));
   };
-  peers_ = std::make_unique<peering::Link>(base_, deadlines_, options, peering::Calls{own, heard});
+  peers_ = std::make_unique<peering::Link>(deadlines_, options, peering::Calls{own, heard});
   figures_.gauge("fleet_living", [this] { return static_cast<double>(peers_->fleet().members().living()); });
   figures_.gauge("fleet_limit", [this] { return 1000 * driver_.ledger().limit; });
   figures_.gauge("fleet_doubted", [this] { return static_cast<double>(peers_->fleet().doubted()); });
--- a/tests/net/program.h
+++ b/tests/net/program.h
@@ -57,6 +57,20 @@
 
   void signal(int number) { kill(pid_, number); }
   void rewrite(const std::string& config) { std::ofstream(path_) << config; }
+  struct Use {
+    double cpu_ms = 0, wakes = 0;
+  };
+  Use use() const { // since its start
+    const std::string proc = "/proc/" + std::to_string(pid_);
+    Use u;
+    std::ifstream(proc + "/schedstat") >> u.cpu_ms;
+    u.cpu_ms /= 1e6;
+    std::ifstream status(proc + "/status");
+    for (std::string word; status >> word;) {
+      if (word == "voluntary_ctxt_switches:") status >> u.wakes;
+    }
+    return u;
+  }
   std::size_t descriptors() const { // that it holds
     const std::filesystem::directory_iterator open("/proc/" + std::to_string(pid_) + "/fd");
     return static_cast<std::size_t>(std::distance(begin(open), end(open)));
--- a/tests/peering/processes_test.cpp
+++ b/tests/peering/processes_test.cpp
@@ -6,7 +6,9 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
+#include <sstream>
 
 #include "caller.h"
 #include "program.h"
@@ -17,7 +19,7 @@
 namespace {
 
 constexpr std::size_t kRouters = 4;
-constexpr double kPeriodMs = 50;
+constexpr int kPeriodMs = 50;
 
 sockaddr_in loopback(int port) {
   sockaddr_in where{};
@@ -154,9 +156,13 @@
 
 struct Tier {
   // `bad_line`: what the first router takes for s-1 says nothing.
-  explicit Tier(bool bad_line = false) {
-    std::ofstream(folder / "fleet.toml")
-        << "[members]\nperiod = \"" << kPeriodMs << "ms\"\n[share]\nfindings = true\n";
+  // `fleet`: the file's text; without it the routers share nothing.
+  explicit Tier(bool bad_line = false,
+                const std::optional<std::string>& fleet = "[members]\nperiod = \"" +
+                                                          std::to_string(kPeriodMs) +
+                                                          "ms\"\n[share]\nfindings = true\n")
+      : shares(fleet.has_value()) {
+    std::ofstream(folder / "fleet.toml") << fleet.value_or("");
     for (std::size_t i = 0; i < kRouters; ++i) {
       std::vector<std::string> peers;
       for (std::size_t j = 0; j < kRouters; ++j)
@@ -176,15 +182,17 @@
       configs.push_back(c);
       start(i);
     }
+    if (!shares) return;
     REQUIRE(
         until([&] { return all([&](std::size_t i) { return figure(i, "fleet_heard") == kRouters - 1; }); }));
   }
   void start(std::size_t i) {
     controls[i] = free_port();
     configs[i]["control"] = text_of(controls[i]);
-    programs[i] =
-        std::make_unique<Program>(std::vector<std::string>{"serve", "--fleet", folder / "fleet.toml"},
-                                  configs[i], std::vector<std::string>{});
+    programs[i] = shares ? std::make_unique<Program>(
+                               std::vector<std::string>{"serve", "--fleet", folder / "fleet.toml"},
+                               configs[i], std::vector<std::string>{})
+                         : std::make_unique<Program>(std::vector<std::string>{"serve"}, configs[i]);
     clients.erase(i);
     REQUIRE(until([&] { return programs[i]->port() != 0; }));
   }
@@ -265,6 +273,7 @@
     return static_cast<int>(std::ceil(1.25 * before)) + static_cast<int>(kRouters);
   }
 
+  bool shares;
   router::BasePtr base = router::make_base();
   Net net{base.get()};
   Ledger ledger{base.get()};
@@ -478,3 +487,55 @@
   config["peers"] = {"nowhere"};
   refused("", config, "peers[0]: \"nowhere\" is no address");
 }
+
+// What sharing costs, for docs/notes/fleet.md:
+//   COST="250ms 15 3" fernward_peering_tests --no-skip -tc="cost*"     period, requests a second and router, pairs
+TEST_CASE("cost of sharing: off and on in turn" * doctest::skip()) {
+  const char* wanted = std::getenv("COST");
+  std::istringstream words(wanted != nullptr ? wanted : "250ms 0 3");
+  std::string period;
+  double rate = 0;
+  int pairs = 0;
+  words >> period >> rate >> pairs;
+  constexpr double kSeconds = 20;
+  const auto run = [&](const std::optional<std::string>& fleet) {
+    Tier t(false, fleet);
+    double next = loop::now_ms();
+    std::vector<std::unique_ptr<Client>> clients;
+    for (const auto& p : t.programs) clients.push_back(std::make_unique<Client>(t.base.get(), p->port()));
+    const auto ask_for = [&](double ms) {
+      const double end = loop::now_ms() + ms;
+      for (double now; (now = loop::now_ms()) < end;) {
+        const double until = rate > 0 ? std::min(end, next) : end;
+        timeval wait{0, static_cast<suseconds_t>(1000 * std::clamp(until - now, 0.1, 900.0))};
+        event_base_loopexit(t.base.get(), &wait);
+        event_base_dispatch(t.base.get());
+        if (rate <= 0 || loop::now_ms() < next) continue;
+        next += 1000 / rate / kRouters;
+        const std::string id = std::to_string(++t.asked);
+        clients[t.asked % kRouters]->send(get("/k/" + id, "q" + id));
+      }
+    };
+    ask_for(4000);
+    std::vector<Program::Use> before;
+    for (const auto& p : t.programs) before.push_back(p->use());
+    const std::uint64_t asked = t.asked;
+    ask_for(1000 * kSeconds);
+    Program::Use sum;
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      const Program::Use u = t.programs[i]->use();
+      sum.cpu_ms += u.cpu_ms - before[i].cpu_ms, sum.wakes += u.wakes - before[i].wakes;
+    }
+    const double of = kSeconds * kRouters;
+    std::printf("  %-3s %6.3f ms of CPU and %5.1f wakes a second and router, %.1f us a request\n",
+                fleet ? "on" : "off", sum.cpu_ms / of, sum.wakes / of,
+                t.asked > asked ? 1000 * sum.cpu_ms / static_cast<double>(t.asked - asked) : 0);
+    std::fflush(stdout);
+    return sum.cpu_ms / of;
+  };
+  for (int i = 0; i < pairs; ++i) {
+    const double off = run(std::nullopt), on = run("[members]\nperiod = \"" + period + "\"\n");
+    std::printf("%s, %.0f requests a second: +%.3f ms a second, +%.1f%%\n", period.c_str(), rate, on - off,
+                100 * (on / off - 1));
+  }
+}
