--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -199,6 +199,28 @@
   CHECK(order == "abc");
 }
 
+TEST_CASE(
+    "what nothing waits for goes with the first deadline of its span, at its end without one, or not at "
+    "all") {
+  const auto base = router::make_base();
+  loop::Deadlines deadlines(base.get());
+  std::string order;
+  const double now = loop::now_ms();
+  const auto say = [&](char c) { return [&order, c] { order += c; }; };
+  deadlines.at(now + 10, say('a'));
+  deadlines.within(now + 20, now + 1000, [&] {
+    order += 'c';
+    deadlines.within(now, now + 1000, say('e')); // with the next wake, not this one
+  });
+  auto cancelled = deadlines.within(now, now + 40, say('x'));
+  deadlines.within(now + 50, now + 60, say('f'));
+  deadlines.at(now + 30, say('b'));
+  deadlines.at(now + 40, say('d'));
+  deadlines.cancel(cancelled);
+  CHECK(run_until(base.get(), [&] { return deadlines.size() == 0; }));
+  CHECK(order == "abcdef");
+}
+
 // guards: a heap that loses its order, or a ticket that cancels what another was given for
 TEST_CASE("thousands of deadlines, most of them cancelled: the rest fire in order, each once") {
   const auto base = router::make_base();
