--- a/tests/peering/processes_test.cpp
+++ b/tests/peering/processes_test.cpp
@@ -6,7 +6,9 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
+#include <sstream>
 
 #include "caller.h"
 #include "program.h"
@@ -17,7 +19,7 @@
 namespace {
 
 constexpr std::size_t kRouters = 4;
-constexpr double kPeriodMs = 50;
+constexpr int kPeriodMs = 50;
 
 sockaddr_in loopback(int port) {
   sockaddr_in where{};
@@ -154,9 +156,14 @@
 
 struct Tier {
   // `bad_line`: what the first router takes for s-1 says nothing.
-  explicit Tier(bool bad_line = false) {
-    std::ofstream(folder / "fleet.toml")
-        << "[members]\nperiod = \"" << kPeriodMs << "ms\"\n[share]\nfindings = true\n";
+  // `fleet`: the file's text; without it the routers share nothing.
+  explicit Tier(bool bad_line = false,
+                const std::optional<std::string>& fleet = "[members]\nperiod = \"" +
+                                                          std::to_string(kPeriodMs) +
+                                                          "ms\"\n[share]\nfindings = true\n",
+                bool direct_ = false)
+      : shares(fleet.has_value()), direct(direct_) {
+    std::ofstream(folder / "fleet.toml") << fleet.value_or("");
     for (std::size_t i = 0; i < kRouters; ++i) {
       std::vector<std::string> peers;
       for (std::size_t j = 0; j < kRouters; ++j)
@@ -168,6 +175,9 @@
                      endpoint("s-2", two.address), endpoint("o-1", ledger.address, "in_service", "origin")}));
       c["name"] = "n" + std::to_string(i);
       c["peer_listen"] = text_of(net.listens[i]);
+      if (direct) {
+        for (std::size_t j = 0; j < kRouters; ++j) peers[j] = text_of(net.listens[j]);
+      }
       c["peers"] = peers;
       c["settings"]["balancers"] = kRouters;
       c["settings"]["me"] = i;
@@ -176,15 +186,17 @@
       configs.push_back(c);
       start(i);
     }
+    if (!shares) return;
     REQUIRE(
         until([&] { return all([&](std::size_t i) { return figure(i, "fleet_heard") == kRouters - 1; }); }));
   }
   void start(std::size_t i) {
     controls[i] = free_port();
     configs[i]["control"] = text_of(controls[i]);
-    programs[i] =
-        std::make_unique<Program>(std::vector<std::string>{"serve", "--fleet", folder / "fleet.toml"},
-                                  configs[i], std::vector<std::string>{});
+    programs[i] = shares ? std::make_unique<Program>(
+                               std::vector<std::string>{"serve", "--fleet", folder / "fleet.toml"},
+                               configs[i], std::vector<std::string>{})
+                         : std::make_unique<Program>(std::vector<std::string>{"serve"}, configs[i]);
     clients.erase(i);
     REQUIRE(until([&] { return programs[i]->port() != 0; }));
   }
@@ -250,6 +262,13 @@
     }
     return true;
   }
+  // Says after what time all count all, from now on.
+  bool whole() {
+    const double from = loop::now_ms();
+    const bool is = until([&] { return counts(kRouters); });
+    MESSAGE("whole again after ms: " << loop::now_ms() - from << ", most at the ledger: " << ledger.most);
+    return is;
+  }
   void run(double ms) {
     const double end = loop::now_ms() + ms;
     until([&] { return loop::now_ms() >= end; });
@@ -265,6 +284,7 @@
     return static_cast<int>(std::ceil(1.25 * before)) + static_cast<int>(kRouters);
   }
 
+  bool shares, direct; // direct: no net between them
   router::BasePtr base = router::make_base();
   Net net{base.get()};
   Ledger ledger{base.get()};
@@ -323,9 +343,7 @@
   CHECK(t.served > served);
   t.net.passes = [](std::size_t, std::size_t) { return true; };
   t.ledger.most = 0;
-  const double healed = loop::now_ms();
-  CHECK(t.until([&] { return t.counts(4); }));
-  MESSAGE("whole again after ms: " << loop::now_ms() - healed);
+  CHECK(t.whole());
   CHECK(t.ledger.most <= t.bound(before));
   CHECK(t.net.longest <= 256);
 }
@@ -341,7 +359,7 @@
   t.run(1000);
   CHECK(t.ledger.most <= t.bound(before));
   t.net.loss = 0;
-  CHECK(t.until([&] { return t.counts(4); }));
+  CHECK(t.whole());
 }
 
 TEST_CASE("a router that is stopped is counted out, and judges nobody when it wakes") {
@@ -356,11 +374,14 @@
   CHECK(t.ledger.most <= t.bound(before));
   t.programs[3]->signal(SIGCONT);
   double least = 4;
+  const double woken = loop::now_ms();
   CHECK(t.until([&] {
     least = std::min(least, t.figure(3, "fleet_living"));
     return t.counts(4);
   }));
+  MESSAGE("whole again after ms: " << loop::now_ms() - woken);
   CHECK(least >= 4);
+  CHECK(t.ledger.most <= t.bound(before));
 }
 
 TEST_CASE("a router that was killed and comes back has its part of the ledger after one exchange") {
@@ -373,7 +394,7 @@
   t.each[2] = 0;
   t.start(2);
   CHECK(t.until([&] { return t.figure(2, "fleet_heard") > 0; }));
-  CHECK(t.until([&] { return t.counts(4); }));
+  CHECK(t.whole());
   const double others = (t.limits() - t.figure(2, "fleet_limit") / 1000) / 3;
   MESSAGE("its limit: " << t.figure(2, "fleet_limit") / 1000 << ", the others' mean: " << others);
   t.each[2] = 16;
@@ -386,19 +407,24 @@
   Tier t;
   t.each[0] = t.each[1] = t.each[2] = t.each[3] = 2;
   t.run(500);
+  const double before = t.limits();
+  t.ledger.most = 0;
   for (std::size_t i = 0; i < kRouters; ++i) {
     t.programs[i]->signal(SIGTERM);
     std::unique_ptr<Program> old = std::move(t.programs[i]);
     t.clients.erase(i);
     t.start(i); // beside the old one, which still answers what it has taken
-    CHECK(t.until([&] { return t.counts(4); }));
+    CHECK(t.whole());
     CHECK(t.until([&] { return old->ended(); }));
     CHECK(old->code == 0);
   }
   for (std::size_t i = 0; i < kRouters; ++i) t.kill(i);
   for (std::size_t i = 0; i < kRouters; ++i) t.start(i);
+  const double started = loop::now_ms();
   CHECK(t.until([&] { return t.all([&](std::size_t i) { return t.figure(i, "fleet_heard") == 3; }); }));
+  MESSAGE("after a restart of all each has heard all after ms: " << loop::now_ms() - started);
   CHECK(t.counts(4));
+  CHECK(t.ledger.most <= t.bound(before));
 }
 
 TEST_CASE(
@@ -478,3 +504,65 @@
   config["peers"] = {"nowhere"};
   refused("", config, "peers[0]: \"nowhere\" is no address");
 }
+
+// What sharing costs, for docs/notes/fleet.md:
+//   COST="400ms 15 3" fernward_peering_tests --no-skip -tc="cost*"     period, requests a second and router, pairs, and
+// what else is to stand under [share]. The two tiers of a pair run at the same time, as others use the machine too.
+TEST_CASE("cost of sharing: off and on at the same time" * doctest::skip()) {
+  const char* wanted = std::getenv("COST");
+  std::istringstream words(wanted != nullptr ? wanted : "400ms 0 3");
+  std::string period, share;
+  double rate = 0;
+  int pairs = 0;
+  words >> period >> rate >> pairs;
+  std::getline(words >> std::ws, share); // "ledger=false", say
+  constexpr double kSeconds = 20;
+  struct One {
+    explicit One(const std::optional<std::string>& fleet) : tier(false, fleet, true) {
+      for (const auto& p : tier.programs)
+        clients.push_back(std::make_unique<Client>(tier.base.get(), p->port()));
+    }
+    void ask() {
+      const std::string id = std::to_string(++tier.asked);
+      clients[tier.asked % kRouters]->send(get("/k/" + id, "q" + id));
+    }
+    Program::Use use() const {
+      Program::Use sum;
+      for (const auto& p : tier.programs) {
+        const Program::Use u = p->use();
+        sum.cpu_ms += u.cpu_ms, sum.wakes += u.wakes;
+      }
+      return sum;
+    }
+    Tier tier;
+    std::vector<std::unique_ptr<Client>> clients;
+  };
+  for (int pair = 0; pair < pairs; ++pair) {
+    std::unique_ptr<One> both[2] = {
+        std::make_unique<One>(std::nullopt),
+        std::make_unique<One>("[members]\nperiod = \"" + period + "\"\n[share]\n" + share + "\n")};
+    double next = loop::now_ms();
+    const auto run = [&](double ms) {
+      for (const double end = loop::now_ms() + ms; loop::now_ms() < end; usleep(300)) {
+        for (auto& one : both) event_base_loop(one->tier.base.get(), EVLOOP_NONBLOCK);
+        if (rate <= 0 || loop::now_ms() < next) continue;
+        next += 1000 / rate / kRouters;
+        for (auto& one : both) one->ask();
+      }
+    };
+    run(4000);
+    const Program::Use began[2] = {both[0]->use(), both[1]->use()};
+    run(1000 * kSeconds);
+    double cpu[2];
+    for (int i = 0; i < 2; ++i) {
+      const Program::Use u = both[i]->use();
+      const double of = kSeconds * kRouters;
+      cpu[i] = (u.cpu_ms - began[i].cpu_ms) / of;
+      std::printf("  %-3s %6.3f ms of CPU and %5.1f wakes a second and router\n", i == 0 ? "off" : "on",
+                  cpu[i], (u.wakes - began[i].wakes) / of);
+    }
+    std::printf("%s, %.0f requests a second: +%.3f ms a second, +%.1f%%\n", period.c_str(), rate,
+                cpu[1] - cpu[0], 100 * (cpu[1] / cpu[0] - 1));
+    std::fflush(stdout);
+  }
+}
