Routers share the ledger's response time: a limit below one goes by it

At 256 routers each one's limit at the ledger is far below one, a pace by its own response time that is learned from an answer in 2 s over half a minute. A probe saw what held the ledger at 100 to 140 with limits of 20 and less: a router that had no answer yet keeps one attempt out whatever its limit, and half of the tier that came back had none in time, ever.

A further quantity, the response time of the last second or two: pooled without the eighth at each end, taken by a tenth a round into a pace below one, which falls and grows by it and no more than once for what was seen since the last cut. An entry of an older version, which lacks it, is read as far as it goes.

--- a/include/fernward/choice.h
+++ b/include/fernward/choice.h
@@ -176,8 +176,10 @@
 
 // What the routers of the tier know together, as far as this one was told: advice, and nothing for long when nobody is heard.
 struct FleetWord {
-  double living = 0;      // routers; 0: not known. Settings::nodes bounds it
-  double ledger_part = 0; // of what all may have at the origin at once, this one's part; 0: not known
+  double living = 0;        // routers; 0: not known. Settings::nodes bounds it
+  double ledger_part = 0;   // of what all may have at the origin at once, this one's part; 0: not known
+  double answer_ms = 0;     // the origin's response time lately, as several saw it; 0: not known
+  double answer_age_ms = 0; // how long ago they did, on average
 };
 
 // What several routers say together of a cache; a single one's word never comes here. An own answer that is younger
@@ -255,9 +257,9 @@
   bool avoids(ServerId server) const;
 
   // What the others may be told of the origin: attempts at once that are wanted here (below 0: not known yet), and what
-  // the limit lets this node have.
+  // the limit lets this node have; its response time in the last second or two (0: no answer).
   struct Ledger {
-    double demand = -1, limit = 0;
+    double demand = -1, limit = 0, answer_ms = 0;
   };
   Ledger ledger() const;
 
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -34,7 +34,15 @@
 constexpr double kFewClear = 6, kManyClear = 16;   // samples that this takes
 constexpr double kLead = 0.2;                      // of the way to its part that a limit goes at each call
 constexpr double kReachedAgain = 0.7; // of the limit before the first connection that did not come up
-constexpr double kUnused = 0.98;      // by which each answer takes back a limit less than half used
+constexpr double kLatelyMs = 500, kLatelyGone = 2000; // half-life of own answers that are told, and their end
+constexpr double kPoolGone =
+    2000; // after so long without the others' response time a limit learns alone again
+// Of the others' response time in a pace, at each round. Their words are a second or two old: followed quicker, all paces
+// swing with them.
+constexpr double kPoolWeight = 0.1;
+constexpr double kPoolHold =
+    0.8; // of the lateness that cuts, from which a limit no longer grows by the others' word
+constexpr double kUnused = 0.98; // by which each answer takes back a limit less than half used
 
 } // namespace
 
@@ -111,7 +119,11 @@
     floor_.start(std::max(s.elapsed_ms, 0.01));
   }
   if (recent_ms_ == 0) recent_ms_ = s.elapsed_ms;
-  smooth(recent_ms_, s.aim_ms > 0 ? std::min(s.elapsed_ms, 2 * s.aim_ms) : s.elapsed_ms, 0.1);
+  const double bounded = s.aim_ms > 0 ? std::min(s.elapsed_ms, 2 * s.aim_ms) : s.elapsed_ms;
+  smooth(recent_ms_, bounded, 0.1);
+  if (s.aim_ms > 0) aim_ms_ = s.aim_ms;
+  const double fade = std::exp2((lately_at_ - now) / kLatelyMs);
+  lately_sum_ = fade * lately_sum_ + bounded, lately_seen_ = fade * lately_seen_ + 1, lately_at_ = now;
   const double slowdown = s.elapsed_ms / std::max(expected(s), 0.01);
   if (s.ending == Ending::Answered) floor_.compare(slowdown, slow_, s.work_ms, s.write);
   const double before = limit_;
@@ -160,8 +172,11 @@
   const bool more = used_ / std::max(1.0, slow_) > kMore * good_used_;
   smooth(pressed_, slow_ > 0.9 * hold && s.out + 2 > limit_, 0.03);
   if (s.aim_ms > 0) smooth(late_, std::min(1.5, s.elapsed_ms / s.aim_ms), limit_ < 1 ? 0.3 : 0.1);
-  const double late = std::max(kLate, std::min(1.25 * floor_.mean_ms() / std::max(s.aim_ms, 1.0), 0.75));
-  if (late_ > late && now - cut_at_ >= recent_ms_) {
+  if (goes_by_pool(now)) {
+    strain_ = 0;
+    return;
+  }
+  if (late_ > too_late(s.aim_ms) && now - cut_at_ >= recent_ms_) {
     cut(now, 0.8 * std::min(limit_, s.out + 1.0));
     late_ *= 0.9;
     return;
@@ -216,6 +231,36 @@
   limit_ += kLead * (part - limit_); // also of one at its beginning: what it took at once nobody would give
 }
 
+double Limiter::too_late(double aim_ms) const {
+  return std::max(kLate, std::min(1.25 * floor_.mean_ms() / std::max(aim_ms, 1.0), 0.75));
+}
+
+bool Limiter::goes_by_pool(double now) const { return limit_ < 1 && now - pooled_at_ < kPoolGone; }
+
+double Limiter::lately_ms(double now) const {
+  return lately_seen_ > 0 && now - lately_at_ < kLatelyGone ? lately_sum_ / lately_seen_ : 0;
+}
+
+void Limiter::pooled(double now, double answer_ms, double age_ms) {
+  const double passed = std::clamp(now - led_at_, 0.0, 1000.0);
+  led_at_ = now;
+  if (!usable_number(answer_ms) || !usable_number(age_ms) || answer_ms == 0) return;
+  pooled_at_ = now;
+  if (limit_ >= 1) return;
+  // Of one that had no answer yet, too: else it keeps one attempt out whatever its limit, and half of a tier that comes
+  // back to a ledger which answers nobody in time would keep it so.
+  if (recent_ms_ == 0) recent_ms_ = answer_ms;
+  smooth(recent_ms_, answer_ms, kPoolWeight);
+  if (!floor_.known() || aim_ms_ == 0) return; // nothing is known that the time could be set against
+  // What was sent before the last cut, and seen some time ago, is answered by that cut already.
+  if (now - cut_at_ < answer_ms + age_ms) return;
+  const double late = answer_ms / aim_ms_, most = too_late(aim_ms_);
+  if (late > most) return cut(now, 0.8 * limit_);
+  const double gap = std::max(gap_ms_, now - sent_at_);
+  if (late < kPoolHold * most && gap < 3 * answer_ms / (kPaceSlack * limit_))
+    limit_ *= 1 + kGrow * std::min(1.0, passed / answer_ms);
+}
+
 void Limiter::cut(double now, double to) {
   doubling_ = false;
   was_ = limit_;
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -47,6 +47,12 @@
   // What the routers together hold this one's part to be. Approached over some calls.
   void lead(double part);
 
+  // The response time as the routers saw it together, `age_ms` ago on average; 0: not known. A limit below one brings
+  // an answer in many response times: its pace, and whether it falls or grows, then go by this and not by own answers.
+  void pooled(double now, double answer_ms, double age_ms);
+  double lately_ms(
+      double now) const; // mean response time of the last second or two, to be told; 0: none seen
+
   double limit() const { return limit_; }         // attempts at once; below one it is a pace
   double recent_ms() const { return recent_ms_; } // response time lately; 0: none seen
   // How full the server is, as a share of what makes the limit fall: 0 nobody there, over 1 the limit falls.
@@ -61,6 +67,8 @@
   void learn(double now, const Sample& s, double slowdown);
   void grow(const Sample& s);
   void cut(double now, double to);
+  double too_late(double aim_ms) const;
+  bool goes_by_pool(double now) const;
 
   double limit_, start_, nodes_;
   bool doubling_ = true;
@@ -79,6 +87,8 @@
          later_ = kNever; // later_: when the latest attempt that was answered had been sent
   double reached_ =
       0; // limit before the first connection of several that did not come up; 0: none since an answer
+  double lately_sum_ = 0, lately_seen_ = 0, lately_at_ = kNever, aim_ms_ = 0;
+  double pooled_at_ = kNever, led_at_ = kNever;
   double silent_ = 0; // attempts in a row that ended without a word
 };
 
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -91,6 +91,7 @@
 void Balancer::Impl::take(const FleetWord& e) {
   living =
       std::clamp(usable_number(e.living) && e.living > 0 ? e.living : 1e9, 0.25 * set.nodes, 1.0 * set.nodes);
+  origin_limit.pooled(now, e.answer_ms, e.answer_age_ms);
   origin_limit.lead(e.ledger_part);
 }
 
@@ -159,7 +160,9 @@
   return r != nullptr && r->health.out();
 }
 
-Balancer::Ledger Balancer::ledger() const { return {impl_->ledger_demand, impl_->origin_limit.limit()}; }
+Balancer::Ledger Balancer::ledger() const {
+  return {impl_->ledger_demand, impl_->origin_limit.limit(), impl_->origin_limit.lately_ms(impl_->now)};
+}
 
 void Balancer::on(double now, const Event& event, std::vector<Action>& actions) {
   impl_->now = now;
--- a/src/shared/advice.h
+++ b/src/shared/advice.h
@@ -16,7 +16,7 @@
 
 inline Own own_of(const Balancer& balancer, const Uses& uses) {
   const Balancer::Ledger ledger = balancer.ledger();
-  Own own{ledger.demand, ledger.limit, {}};
+  Own own{ledger.demand, ledger.limit, {}, ledger.answer_ms};
   if (!uses.findings) return own;
   std::vector<Balancer::Finding> seen;
   balancer.findings(seen);
@@ -26,7 +26,10 @@
 
 // The events for the policy after a round, appended.
 inline void advise(double now, const View& v, Fleet& fleet, const Uses& uses, std::vector<Event>& to) {
-  to.push_back(FleetWord{uses.count ? v.living : 0, uses.ledger ? v.ledger_part : 0});
+  FleetWord word{uses.count ? v.living : 0};
+  if (uses.ledger)
+    word.ledger_part = v.ledger_part, word.answer_ms = v.answer_ms, word.answer_age_ms = v.answer_age_ms;
+  to.push_back(word);
   if (!uses.findings) return;
   std::vector<Verdict> verdicts;
   fleet.verdicts(now, verdicts);
--- a/src/shared/facts.cpp
+++ b/src/shared/facts.cpp
@@ -10,8 +10,8 @@
 using members::put;
 
 // An entry: u16 owner, u32 incarnation, u16 sequence, u16 age in 10 ms, then u16 a quantity. A longer one has quantities
-// that this version does not know; a shorter one lacks some and is not enough to go by.
-constexpr std::size_t kHead = 10, kLength = kHead + 2 * kFacts;
+// that this version does not know; a shorter one is of an older version, and what it lacks is 0: nothing to say.
+constexpr std::size_t kHead = 10, kLength = kHead + 2 * kFacts, kShortest = kHead + 2 * 2;
 constexpr double kAgeUnit = 10, kMostAge = 65535 * kAgeUnit;
 // What a router that asks for nothing keeps, as a share of the usual demand and in attempts: it may be asked at any time.
 constexpr double kIdlePart = 0.25, kLeastIdle = 0.25;
@@ -100,12 +100,13 @@
 void Facts::read(double now, Id from, std::string_view bytes, std::vector<Told>& told) {
   while (const auto entry = next_entry(bytes)) {
     const std::string_view one = entry->bytes;
-    if (entry->kind != static_cast<std::uint8_t>(Kind::Quantities) || one.size() < kLength) continue;
+    if (entry->kind != static_cast<std::uint8_t>(Kind::Quantities) || one.size() < kShortest) continue;
     const Id owner = get<Id>(one, 0);
     const Stamp stamp{get<std::uint32_t>(one, 2), get<std::uint16_t>(one, 6)};
     const double age = get<std::uint16_t>(one, 8) * kAgeUnit;
     Values values{};
-    for (std::size_t i = 0; i < kFacts; ++i) values[i] = unscaled(get<std::uint16_t>(one, kHead + 2 * i));
+    const std::size_t said = std::min(kFacts, (one.size() - kHead) / 2);
+    for (std::size_t i = 0; i < said; ++i) values[i] = unscaled(get<std::uint16_t>(one, kHead + 2 * i));
     if (merge(now, owner, stamp, age, values, owner == from)) told.push_back({owner, stamp});
   }
   passed_over_ += !bytes.empty(); // a damaged tail
@@ -171,4 +172,25 @@
   return limits / demands * (std::min(mine, most) + idle);
 }
 
+Facts::Answers Facts::answers(double now) {
+  const Quantity& q = kQuantities[static_cast<std::size_t>(What::Answer)];
+  seen_.clear();
+  for (std::size_t i = 0; i < all_.size(); ++i) {
+    const Entry& e = all_[i];
+    const double ms = e.values[static_cast<std::size_t>(What::Answer)],
+                 age = i == self_ ? 0 : now - e.made_at;
+    if (e.known && ms > 0 && age < q.gone_ms) seen_.push_back({ms, std::exp2(-age / q.half_life_ms), age});
+  }
+  if (seen_.size() < 3) return {};
+  std::sort(seen_.begin(), seen_.end(), [](const Seen& a, const Seen& b) { return a.ms < b.ms; });
+  const std::size_t off = std::max<std::size_t>(1, seen_.size() / kTrimmed);
+  double sum = 0, ages = 0, weights = 0;
+  for (std::size_t i = off; i < seen_.size() - off; ++i) {
+    sum += seen_[i].weight * seen_[i].ms;
+    ages += seen_[i].weight * seen_[i].age;
+    weights += seen_[i].weight;
+  }
+  return {sum / weights, ages / weights};
+}
+
 } // namespace fernward::shared
--- a/src/shared/facts.h
+++ b/src/shared/facts.h
@@ -32,6 +32,7 @@
 enum class What : std::uint8_t {
   Demand, // attempts that this router wants at the ledger at once, waiting ones included
   Limit,  // attempts at once that its limiter holds the ledger's share for it to be
+  Answer, // response time of the ledger there in the last second or two, ms; 0: no answer
   Count
 };
 constexpr std::size_t kFacts = static_cast<std::size_t>(What::Count);
@@ -49,6 +50,9 @@
      "none on others' parts: each is dealt out by its own demand"},
     {"limit", 1.0 / 1024, 4096, 4000, 12000, "the router's own limit, as it learned it alone",
      "with fewer liars than an eighth (than two, in small tiers): parts stay within what honest ones have"},
+    {"response time", 0, 8192, 500, 3000, "the router's own answers, as it learned alone",
+     "with fewer liars than an eighth (than two, in small tiers): the mean stays within what honest ones "
+     "saw"},
 }};
 
 using Values = std::array<double, kFacts>;
@@ -78,6 +82,12 @@
   // they want and the one that holds the least: a liar's word moves no part beyond what honest ones have, in however many
   // rounds.
   double part(double now);
+  // The ledger's response time of late: the mean of what routers saw, without the eighth at each end. `age_ms`: of these
+  // words, on average. Nothing where fewer than three have an answer.
+  struct Answers {
+    double ms = 0, age_ms = 0;
+  };
+  Answers answers(double now);
   std::size_t heard(double now) const; // routers whose word counts, without this one
 
   std::uint64_t passed_over() const { return passed_over_; }
@@ -100,7 +110,11 @@
   };
   double demand_before(double then) const; // this router's
   void gather(double now);
+  struct Seen {
+    double ms, weight, age;
+  };
   std::vector<Heard> heard_;                     // scratch
+  std::vector<Seen> seen_;                       // scratch
   std::deque<std::pair<double, double>> wanted_; // by this router: when, and how much
   std::uint64_t passed_over_ = 0;
 };
--- a/src/shared/fleet.cpp
+++ b/src/shared/fleet.cpp
@@ -8,7 +8,7 @@
 constexpr double kEpochMs = 1577836800000; // 2020
 // Bytes of facts in a datagram: the sender's own and four others'. At four rounds a second and 300 routers that is half of
 // the tier within a half-life.
-constexpr std::size_t kFactsRoom = 80;
+constexpr std::size_t kFactsRoom = 90;
 
 } // namespace
 
@@ -26,7 +26,7 @@
   own_ = own;
   members_.tick(now, packets_);
   const double demand = own_.demand >= 0 ? own_.demand : facts_.demand(now);
-  facts_.own(now, members_.stamp(), {demand, own.limit});
+  facts_.own(now, members_.stamp(), {demand, own.limit, own.answer_ms});
   findings_.own(now, members_.stamp(), own.findings);
   send(now, out);
 }
@@ -68,7 +68,11 @@
   View v;
   v.living = static_cast<double>(members_.living());
   v.heard = static_cast<double>(facts_.heard(now));
-  if (v.heard > 0) v.ledger_part = facts_.part(now);
+  if (v.heard > 0) {
+    v.ledger_part = facts_.part(now);
+    const Facts::Answers answers = facts_.answers(now);
+    v.answer_ms = answers.ms, v.answer_age_ms = answers.age_ms;
+  }
   return v;
 }
 
--- a/src/shared/fleet.h
+++ b/src/shared/fleet.h
@@ -24,12 +24,15 @@
   double demand = -1; // below 0: not known yet
   double limit = 0;
   std::vector<Finding> findings = {};
+  double answer_ms = 0; // the ledger's response time lately; 0: no answer
 };
 
 struct View {
   double living = 1;      // routers, this one included
   double heard = 0;       // others whose word counts now
   double ledger_part = 0; // of the fleet's limit at the ledger, as attempts at once; 0: nothing is known
+  double answer_ms = 0,
+         answer_age_ms = 0; // the ledger's response time as several saw it, and how long ago; 0: not known
 };
 
 struct Counts {
--- a/tests/limits/limiter_test.cpp
+++ b/tests/limits/limiter_test.cpp
@@ -64,3 +64,37 @@
   CHECK(l.ended(now, {.ending = Ending::TurnedAway, .elapsed_ms = 1, .aim_ms = 750}) == Sign::TurnedAway);
   CHECK(l.limit() < grown);
 }
+
+// Found in the lab at 256 routers: half of them came back to a ledger that answered nobody in time, and each kept one
+// attempt out for ever, whatever its limit.
+TEST_CASE("one that had no answer yet goes by the response time that the others saw") {
+  Limiter l = Limiter::origin(256);
+  CHECK(l.room(0, 0, false));
+  l.sent(0);
+  CHECK(l.room(500, 0, false)); // alone it knows no pace
+  l.pooled(500, 1000, 500);
+  CHECK_FALSE(l.room(500, 0, false));
+  CHECK(l.room(9000, 0, false));
+}
+
+TEST_CASE("a limit below one falls by the others' response time, once for what was seen since") {
+  Limiter l = Limiter::origin(256);
+  l.sent(0);
+  l.ended(200, answered(200, 750, 0));
+  const double before = l.limit();
+  double now = 1000;
+  l.pooled(now, 700, 500);
+  const double cut = l.limit();
+  CHECK(cut < 0.9 * before);
+  for (; now < 2000; now += 250) l.pooled(now, 700, 500);
+  CHECK(l.limit() == cut); // what they say was sent before the cut
+  l.pooled(2250, 700, 500);
+  CHECK(l.limit() < cut);
+  Limiter whole = Limiter::origin(4); // an attempt and more learn by their own answers
+  whole.sent(0);
+  whole.ended(200, answered(200, 750, 0));
+  const double held = whole.limit(), recent = whole.recent_ms();
+  whole.pooled(1000, 700, 500);
+  CHECK(whole.limit() == held);
+  CHECK(whole.recent_ms() == recent);
+}
--- a/tests/shared/shared_test.cpp
+++ b/tests/shared/shared_test.cpp
@@ -222,3 +222,47 @@
   CHECK(told.empty());
   CHECK(f.passed_over() == 6);
 }
+
+TEST_CASE(
+    "the ledger's response time is pooled: old words fade soon, a liar moves it within what honest ones "
+    "saw") {
+  for (const std::size_t n : {4u, 40u}) {
+    CAPTURE(n);
+    Tier t(n, 13);
+    for (std::size_t i = 0; i < n; ++i)
+      t.own[i] = {1, 1, {}, i % 4 == 3 ? 0 : 100.0 + static_cast<double>(i)};
+    const auto seen = [&](std::size_t i) { return t.routers[i]->view(t.now).answer_ms; };
+    const double most = 100.0 + static_cast<double>(n);
+    t.run(5000);
+    CHECK(t.all([&](std::size_t i) { return seen(i) >= 100 && seen(i) <= most; }));
+    for (const double lie : {1e-3, 1e9}) {
+      t.own[0].answer_ms = lie;
+      t.run(5000);
+      CHECK(t.all([&](std::size_t i) { return i == 0 || (seen(i) >= 100 && seen(i) <= most); }));
+    }
+    for (auto& own : t.own) own.answer_ms = 0;
+    t.run(8000);
+    CHECK(t.all([&](std::size_t i) { return seen(i) == 0; })); // nobody was answered lately
+  }
+}
+
+TEST_CASE("entries of an older version, and of a newer one, say what they have") {
+  Facts old(1, 4, 1);
+  old.own(0, {10, 1}, {2, 3, 50});
+  std::string bytes = old.write(0, 18);
+  CHECK(bytes.size() == 18);
+  std::vector<Facts::Told> told;
+  Facts f(0, 4, 1);
+  std::string newer = bytes + "xx"; // one more quantity
+  newer[1] = static_cast<char>(newer[1] + 2);
+  f.read(0, 1, newer, told);
+  CHECK(told.size() == 1);
+  Facts g(0, 4, 1);
+  std::string older = bytes.substr(0, 16); // demand and limit alone
+  older[1] = static_cast<char>(older[1] - 2);
+  g.read(0, 1, older, told);
+  CHECK(told.size() == 2);
+  CHECK(g.heard(0) == 1);
+  CHECK(g.answers(0).ms == 0);
+  CHECK(f.passed_over() + g.passed_over() == 0);
+}
