A pace follows the others' response time in step with the age of their words

An answer was told for 2 s after it came, and words faded by half in half a second: what a router heard was some 2 s behind what the ledger did (at 256 routers 232 ms heard, 844 true), and paces and limits swung with a period of 6 to 8 s.

An answer is told for 0.8 s, words fade by half in 0.3 s, and both what a pace follows and what a limit grows go by the lag: the response time and the words' age together, three of them for a pace.

--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -34,15 +34,13 @@
 constexpr double kFewClear = 6, kManyClear = 16;   // samples that this takes
 constexpr double kLead = 0.2;                      // of the way to its part that a limit goes at each call
 constexpr double kReachedAgain = 0.7; // of the limit before the first connection that did not come up
-constexpr double kLatelyMs = 500, kLatelyGone = 2000; // half-life of own answers that are told, and their end
+constexpr double kLatelyMs = 500, kLatelyGone = 800; // half-life of own answers that are told, and their end
 constexpr double kPoolGone =
     2000; // after so long without the others' response time a limit learns alone again
-// Of the others' response time in a pace, at each round. Their words are a second or two old: followed quicker, all paces
-// swing with them.
-constexpr double kPoolWeight = 0.1;
-constexpr double kPoolHold =
-    0.8; // of the lateness that cuts, from which a limit no longer grows by the others' word
-constexpr double kUnused = 0.98; // by which each answer takes back a limit less than half used
+constexpr double kPoolLags =
+    3; // in which a pace follows it: the words are old, and followed quicker all swing
+constexpr double kPoolHold = 0.8; // of the lateness that cuts, from which they grow no limit
+constexpr double kUnused = 0.98;  // by which each answer takes back a limit less than half used
 
 } // namespace
 
@@ -249,16 +247,17 @@
   if (limit_ >= 1) return;
   // Of one that had no answer yet, too: else it keeps one attempt out whatever its limit, and half of a tier that comes
   // back to a ledger which answers nobody in time would keep it so.
+  const double lag = answer_ms + age_ms; // since what they were answered was sent
   if (recent_ms_ == 0) recent_ms_ = answer_ms;
-  smooth(recent_ms_, answer_ms, kPoolWeight);
+  smooth(recent_ms_, answer_ms, std::min(1.0, passed / (kPoolLags * lag)));
   if (!floor_.known() || aim_ms_ == 0) return; // nothing is known that the time could be set against
   // What was sent before the last cut, and seen some time ago, is answered by that cut already.
-  if (now - cut_at_ < answer_ms + age_ms) return;
+  if (now - cut_at_ < lag) return;
   const double late = answer_ms / aim_ms_, most = too_late(aim_ms_);
   if (late > most) return cut(now, 0.8 * limit_);
   const double gap = std::max(gap_ms_, now - sent_at_);
   if (late < kPoolHold * most && gap < 3 * answer_ms / (kPaceSlack * limit_))
-    limit_ *= 1 + kGrow * std::min(1.0, passed / answer_ms);
+    limit_ *= 1 + kGrow * std::min(1.0, passed / lag);
 }
 
 void Limiter::cut(double now, double to) {
--- a/src/shared/facts.h
+++ b/src/shared/facts.h
@@ -50,7 +50,7 @@
      "none on others' parts: each is dealt out by its own demand"},
     {"limit", 1.0 / 1024, 4096, 4000, 12000, "the router's own limit, as it learned it alone",
      "with fewer liars than an eighth (than two, in small tiers): parts stay within what honest ones have"},
-    {"response time", 0, 8192, 500, 3000, "the router's own answers, as it learned alone",
+    {"response time", 0, 8192, 300, 3000, "the router's own answers, as it learned alone",
      "with fewer liars than an eighth (than two, in small tiers): the mean stays within what honest ones "
      "saw"},
 }};
