--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -37,8 +37,9 @@
 constexpr double kLatelyMs = 500, kLatelyGone = 800; // half-life of own answers that are told, and their end
 constexpr double kPoolGone =
     2000; // after so long without the others' response time a limit learns alone again
-constexpr double kPoolLags =
-    3; // in which a pace follows it: the words are old, and followed quicker all swing
+// The words are old: followed at once in both directions, all paces swing together. So a pace is given up within the
+// time that they lag behind, and taken back over several such times.
+constexpr double kPoolRise = 1, kPoolFall = 6;
 constexpr double kPoolHold = 0.8; // of the lateness that cuts, from which they grow no limit
 constexpr double kUnused = 0.98;  // by which each answer takes back a limit less than half used
 
@@ -245,11 +246,12 @@
   if (!usable_number(answer_ms) || !usable_number(age_ms) || answer_ms == 0) return;
   pooled_at_ = now;
   if (limit_ >= 1) return;
+  const double lag = answer_ms + age_ms; // since what they were answered was sent
   // Of one that had no answer yet, too: else it keeps one attempt out whatever its limit, and half of a tier that comes
   // back to a ledger which answers nobody in time would keep it so.
-  const double lag = answer_ms + age_ms; // since what they were answered was sent
   if (recent_ms_ == 0) recent_ms_ = answer_ms;
-  smooth(recent_ms_, answer_ms, std::min(1.0, passed / (kPoolLags * lag)));
+  const double lags = answer_ms > recent_ms_ ? kPoolRise : kPoolFall;
+  smooth(recent_ms_, answer_ms, std::min(1.0, passed / (lags * lag)));
   if (!floor_.known() || aim_ms_ == 0) return; // nothing is known that the time could be set against
   // What was sent before the last cut, and seen some time ago, is answered by that cut already.
   if (now - cut_at_ < lag) return;
--- a/tests/limits/limiter_test.cpp
+++ b/tests/limits/limiter_test.cpp
@@ -98,3 +98,16 @@
   CHECK(whole.limit() == held);
   CHECK(whole.recent_ms() == recent);
 }
+
+TEST_CASE("a pace is given up as soon as the others wait longer, and taken back slowly") {
+  Limiter l = Limiter::origin(256);
+  double now = 0;
+  l.pooled(now, 200, 300);
+  const auto rounds = [&](int n, double ms) {
+    for (int i = 0; i < n; ++i) l.pooled(now += 250, ms, 300);
+    return l.recent_ms();
+  };
+  CHECK(rounds(10, 1000) > 800);
+  CHECK(rounds(10, 200) > 400);
+  CHECK(rounds(60, 200) < 300);
+}
