--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -259,7 +259,7 @@
   if (late > most) return cut(now, 0.8 * limit_);
   const double gap = std::max(gap_ms_, now - sent_at_);
   if (late < kPoolHold * most && gap < 3 * answer_ms / (kPaceSlack * limit_))
-    limit_ *= 1 + kGrow * std::min(1.0, passed / lag);
+    limit_ *= 1 + (doubling_ ? kRegrow : kGrow) * std::min(1.0, passed / lag); // quicker until the first cut
 }
 
 void Limiter::cut(double now, double to) {
