--- a/src/peering/link.cpp
+++ b/src/peering/link.cpp
@@ -87,30 +87,24 @@
 
 // True: there may be more.
 bool Link::read() {
-  struct Place {
-    std::array<char, members::kMostBytes + 1> bytes;
-    sockaddr_in from;
-  };
-  std::array<Place, kAtOnce> places;
-  std::array<iovec, kAtOnce> parts;
-  std::array<mmsghdr, kAtOnce> all{};
-  for (std::size_t i = 0; i < kAtOnce; ++i) {
-    parts[i] = {places[i].bytes.data(), places[i].bytes.size()};
-    all[i].msg_hdr.msg_name = &places[i].from;
-    all[i].msg_hdr.msg_namelen = sizeof places[i].from;
-    all[i].msg_hdr.msg_iov = &parts[i];
-    all[i].msg_hdr.msg_iovlen = 1;
-  }
-  const int got = recvmmsg(socket_, all.data(), kAtOnce, MSG_DONTWAIT, nullptr);
-  if (got < 0) return errno == ECONNREFUSED; // of what was sent to one that is gone: it says nothing for sure
+  std::array<char, members::kMostBytes + 1> bytes;
   const double now = loop::now_ms();
-  for (std::size_t i = 0; i < static_cast<std::size_t>(got); ++i) {
-    const auto peer = by_address_.find(key_of(places[i].from));
-    if (peer == by_address_.end() || all[i].msg_len > members::kMostBytes) {
+  unsigned got = 0;
+  for (; got < kAtOnce; ++got) {
+    sockaddr_in from{};
+    socklen_t size = sizeof from;
+    const ssize_t length =
+        recvfrom(socket_, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&from), &size);
+    if (length < 0) {
+      if (errno == ECONNREFUSED) continue; // of what was sent to one that is gone: it says nothing for sure
+      break;
+    }
+    const auto peer = by_address_.find(key_of(from));
+    if (peer == by_address_.end() || length > static_cast<ssize_t>(members::kMostBytes)) {
       ++strangers_;
       continue;
     }
-    fleet_.take(now, peer->second, {places[i].bytes.data(), all[i].msg_len}, out_);
+    fleet_.take(now, peer->second, {bytes.data(), static_cast<std::size_t>(length)}, out_);
   }
   send();
   if (!heard_ && got > 0) {
