Lab: a cold node falls over at what the operators name, not by chance

The model left 5% of N to chance, 1 to 4 requests here, and took a neighbour's share off N, which no router is told of (five falls at a fifth to a half of N).

Change: the model's bound is theirs, by the capacity that settings say of a node of its age.

Ruled out: sharing (without it as often), routers that were not told, restarted routers, fills, retries of one try.

--- a/src/model/node.h
+++ b/src/model/node.h
@@ -60,7 +60,8 @@
   bool holds(double now, std::uint64_t key);
   void lose_beginning();
   Ending missed(double now, std::uint64_t key);
-  double warmth(double now) const; // 0: just started, 1: warm
+  double warmth(double now) const;            // 0: just started, 1: warm
+  double promised_capacity(double now) const; // present_capacity() but for a neighbour
   double whole() const { return limits_.cores * limits_.speed; }
 
   const NodeKind& kind_;
@@ -75,6 +76,7 @@
   bool warm_ = true;
   double started_at_ = 0, started_done_ = 0, next_warmth_ = 0;
   double neighbour_ = 0;
+  double mean_work_ms_ = 0; // of a request, over all classes
   bool paused_ = false;
   double next_pause_ = 0;
   Meter work_, told_work_;
