Lab: an origin that fell in a lost zone comes back, a restarted router knows where discovery moved

The return told discovery of machines that run only, and an origin that fell is told of by nobody later: it was off every list for the rest of the run. Both drivers had it. - alone (61 attempts, for 30 s): routers that were down at the moment of their reload went on asking the old discovery for the rest of the run. Only virtual time had it: on sockets a router starts with the file of then.

Change: the zone's return tells of an origin in any case; a reload reaches the configuration of a router that is down.

--- a/lab/peers/machines.cpp
+++ b/lab/peers/machines.cpp
@@ -551,7 +551,8 @@
     case What::Return:
       event(m, NodeEvent::What::Returned);
       ways_changed();
-      if (runs) calls_.changed(m, ServerState::Ready, place.started_at, Why::Added);
+      // An origin that has fallen meanwhile stays on the list, and comes back without a word of its own.
+      if (runs || is_origin(m)) calls_.changed(m, ServerState::Ready, place.started_at, Why::Added);
       break;
     case What::Neighbour:
       if (model::Node* n = node(m)) n->neighbour(now(), step.share, acts_);
--- a/lab/virtual/world_machines.cpp
+++ b/lab/virtual/world_machines.cpp
@@ -192,7 +192,9 @@
     case What::Return:
       event(m, NodeEvent::What::Returned, false, 0);
       free_ways();
-      if (runs) discovery_.change(now_, m, ServerState::Ready, place.started_at, Why::Added);
+      // An origin that has fallen meanwhile stays on the list, and comes back without a word of its own.
+      if (runs || m == plan_.origin)
+        discovery_.change(now_, m, ServerState::Ready, place.started_at, Why::Added);
       break;
     case What::Neighbour:
       if (model::Node* n = node(m)) n->neighbour(now_, step.share, acts_);
--- a/lab/virtual/world_routers.cpp
+++ b/lab/virtual/world_routers.cpp
@@ -73,8 +73,8 @@
       return;
     case What::Start: return at(now_ + kStartMs, Due::RouterStart, step.router, 0, 0);
     case What::Reload:
+      moved_[step.router] = 1; // one that does not run starts with the new configuration
       if (!router.runs()) return;
-      moved_[step.router] = 1;
       event(step.router, RouterEvent::What::Reloaded);
       return tell(step.router);
     case What::Silence:
