Storms: the class worth least may go without where the others lack a quarter

Change: the oracle lets off the one class that is worth less than all others while those get less than three quarters.

--- a/lab/storm/oracles.cpp
+++ b/lab/storm/oracles.cpp
@@ -27,6 +27,7 @@
 constexpr double kAddsUp = 0.03;            // of the service, many routers behind four
 constexpr double kStarvedMs = 4000;         // a group without any service while the rest has half of its own
 constexpr std::uint32_t kStarvedLeast = 40; // requests, for that to be seen
+constexpr double kShortFrom = 0.75;         // of the others: with less there is too little for all
 constexpr double kPartsBeside =
     1.5; // sum of the parts beside the sum of the limits, as old words differ from new ones
 constexpr double kLivingBeside = 0.1;  // of the routers, or one, that a count may be off by
@@ -157,6 +158,13 @@
   });
 }
 
+// Is the class worth less than all others? Such requests are refused first where there is not enough for all.
+bool worth_least(const Spec& spec, std::uint32_t cls) {
+  return spec.classes.size() > 1 && std::all_of(spec.classes.begin(), spec.classes.end(), [&](const auto& c) {
+           return &c == &spec.classes[cls] || c.worth > spec.classes[cls].worth;
+         });
+}
+
 Verdict starves(const Evidence& e) {
   Verdict worst;
   const auto steps = static_cast<std::size_t>(kStarvedMs / kStepMs);
@@ -182,6 +190,7 @@
       if (distance <= worst.distance) continue;
       if (g.by == Group::By::Zone && zone_struck(e, g.number, from, to)) continue;
       if (g.by == Group::By::Class && origin_struck(e, from, to)) continue;
+      if (g.by == Group::By::Class && others < kShortFrom && worth_least(e.spec, g.number)) continue;
       worst = {true, distance,
                name_of(e.spec, g) + format(" was served %.1f%% from %.0f to %.0f ms, the others %.1f%%",
                                            100 * served, from, to, 100 * others)};
--- a/tests/lab/storm/oracles_test.cpp
+++ b/tests/lab/storm/oracles_test.cpp
@@ -197,6 +197,12 @@
   model::Spec s = spec_of_hand();
   s.events = {{20000, "", model::LostZone{1, 26000, false}}};
   CHECK_FALSE(Hand(s).served(1, 20000, 26000, 0).says("starves").broken());
+  // What is worth least is refused first where there is not enough for the others either, and only there.
+  CHECK(Hand().served(2, 40000, 46000, 0).served(3, 40000, 46000, 0.5).says("starves").broken());
+  s.events.clear();
+  s.classes[1].worth = 3;
+  CHECK_FALSE(Hand(s).served(2, 40000, 46000, 0).served(3, 40000, 46000, 0.5).says("starves").broken());
+  CHECK(Hand(s).served(2, 40000, 46000, 0).says("starves").broken());
 }
 
 TEST_CASE(
