Storms: each on sockets beside virtual time, with chance measured by further plays

Need: nobody had compared a drawn storm on real processes with the same one in virtual time; the plays that were tried were void on a busy machine, and there was no measure of how far two plays lie apart by chance.

Virtual time can draw anew what sockets don't repeat (work of attempts, delays, discovery, routers' draws) while machines, requests and faults stay; the bound is four deviations of that and what is granted to the model. The calm run beside a storm on sockets is played in virtual time. Sizes may lie evenly between their bounds, as nearly all small storms had three routers.

Tests: the arithmetic, plays that are void, that other chance keeps requests and faults, and a storm with SIGSTOP, SIGKILL, lost and cut datagrams and a reload on real processes, judged on what no lateness breaks: 5.5 s.

--- a/lab/commands/storm.cpp
+++ b/lab/commands/storm.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "lab/commands/command.h"
+#include "lab/storm/beside.h"
 #include "lab/storm/page.h"
 #include "lab/storm/shrink.h"
 #include "lab/virtual/virtual.h"
@@ -16,6 +17,9 @@
 
 namespace fs = std::filesystem;
 
+constexpr std::uint32_t kMostLeftOut = 1000;
+constexpr double kBesideCalmMs = 2000, kBesideFaultsMs = 5000; // of storms in real time
+
 std::string read_text(const std::string& path) {
   std::ifstream in(path);
   if (!in) throw std::runtime_error(path + " can't be read");
@@ -107,6 +111,33 @@
   return last.broken(*oracle) ? kWell : kBad;
 }
 
+// Storms small enough for real time, each played on sockets and beside that in virtual time.
+int play_besides(const storm::Besides& besides, std::uint64_t first, std::uint64_t storms,
+                 const storm::Size& size, double most_s, const std::string& out, std::stop_token stop) {
+  std::vector<storm::Pair> pairs;
+  std::uint32_t long_ones = 0;
+  const fs::path folder(out);
+  if (!out.empty()) fs::create_directories(folder);
+  for (std::uint64_t seed = first; pairs.size() < storms && !stop.stop_requested(); ++seed) {
+    const model::Spec spec = storm::draw(seed, {}, size);
+    if (spec.duration_ms > 1000 * most_s) {
+      if (++long_ones > kMostLeftOut) throw UsageError("--most-seconds leaves no storm");
+      continue;
+    }
+    storm::Pair pair = storm::play_beside(besides, spec, stop);
+    if (stop.stop_requested()) return kBad;
+    std::printf("%s", storm::pair_text(pair).c_str());
+    std::fflush(stdout);
+    if (!out.empty() && (!pair.agrees() || pair.breaks(storm::Sure::Always)))
+      write_text(folder / (spec.name + ".toml"), scenario_text(spec));
+    pairs.push_back(std::move(pair));
+  }
+  const storm::Agreement agreement = storm::agreement_of(pairs);
+  std::printf("%u longer than %.0f s were left out\n%s", long_ones, most_s,
+              storm::agreement_text(agreement).c_str());
+  return agreement.well() ? kWell : kBad;
+}
+
 } // namespace
 
 int storm_command(const Arguments& arguments) {
@@ -126,6 +157,11 @@
                                      cxxopts::value<std::uint32_t>()->default_value("400"))(
       "write", "Write the storm of --first as a scenario, and play nothing")(
       "replay", "Play a storm's file; it must come out as it says", cxxopts::value<std::string>())(
+      "beside", "On sockets, each storm beside so many plays of it in virtual time; 0: alone",
+      cxxopts::value<std::uint32_t>()->default_value("0"))(
+      "tries", "--beside: plays on sockets of a storm, while they are void",
+      cxxopts::value<std::uint32_t>()->default_value("3"))(
+      "most-seconds", "--beside: longer storms are left out", cxxopts::value<double>()->default_value("30"))(
       "planted", "A defect put into the routers of virtual time, to see what finds it",
       cxxopts::value<std::string>()->default_value("none"))(
       "times", "That --replay plays it", cxxopts::value<std::uint32_t>()->default_value("1"));
@@ -161,6 +197,20 @@
   }
   if (!(season.size.most_rate >= 10)) throw UsageError("--most-rate must be 10 or more");
   const std::string out = parsed.count("out") > 0 ? parsed["out"].as<std::string>() : "";
+  if (const auto plays = parsed["beside"].as<std::uint32_t>(); plays > 0) {
+    if (rig.exact) throw UsageError("--beside is for --driver sockets");
+    if (plays < 2) throw UsageError("--beside takes two plays at least, as one shows no chance");
+    if (season.size.most_routers > 8) throw UsageError("--beside takes --most-routers 8 at most");
+    season.size.calm_ms = kBesideCalmMs;
+    season.size.faults_ms = kBesideFaultsMs;
+    season.size.skew = 1;
+    season.size.whole = false;
+    const storm::Besides besides{
+        rig.driver, [](std::uint64_t chance) { return make_virtual_driver(Planted::None, chance); }, plays,
+        std::max(1u, parsed["tries"].as<std::uint32_t>())};
+    return play_besides(besides, season.first_seed, season.storms, season.size,
+                        parsed["most-seconds"].as<double>(), out, stop);
+  }
   if (parsed.count("shrink") > 0) {
     const std::string path = parsed["shrink"].as<std::string>();
     return shrink_file(rig, path, parsed.count("oracle") > 0 ? parsed["oracle"].as<std::string>() : "",
--- a/lab/storm/draw.cpp
+++ b/lab/storm/draw.cpp
@@ -69,7 +69,7 @@
     const double large = unit();
     const auto sized = [&](double least, double most, double u) {
       return static_cast<std::uint32_t>(
-          std::lround(least * std::pow(std::max(1.0, most / least), std::pow(u, 4))));
+          std::lround(least * std::pow(std::max(1.0, most / least), std::pow(u, size_.skew))));
     };
     routers_ = std::max(3u, sized(3, size_.most_routers, large));
     nodes_ = std::max(6u, sized(6, size_.most_nodes, 0.6 * large + 0.4 * unit()));
--- a/lab/storm/draw.h
+++ b/lab/storm/draw.h
@@ -15,6 +15,7 @@
   double most_rate = 250;   // requests a second
   double calm_ms = 3000;    // before the first fault
   double faults_ms = 10000; // in which faults begin
+  double skew = 4;          // 4: most storms are small; 1: sizes lie evenly between the bounds
   bool whole = true;        // false: settled soon, for real time: short spans, a short tail
 };
 
--- a/lab/storm/storm.cpp
+++ b/lab/storm/storm.cpp
@@ -39,12 +39,14 @@
   RunInfo info;
 };
 
-// `stages` may be nullptr. `whole`: with the rules.
-Run run(const Rig& rig, const Spec& spec, const Plan& plan, StageWatch* stages, std::stop_token stop) {
+// `stages` and `hears` may be nullptr.
+Run run(const Rig& rig, const Spec& spec, const Plan& plan, StageWatch* stages, Sink* hears,
+        std::stop_token stop) {
   Checker checker(spec, plan, rig.exact ? virtual_slack(spec) : kSocketsSlackMs);
   Watch watch(spec, plan, 2 * (spec.discovery.period_ms + spec.discovery.spread_ms) + kNewsMs);
   std::vector<Sink*> sinks = {&checker, &watch};
   if (stages != nullptr) sinks.push_back(stages);
+  if (hears != nullptr) sinks.push_back(hears);
   Tee tee(sinks);
   std::stop_source own;
   const std::stop_callback asked(stop, [&] { own.request_stop(); });
@@ -127,29 +129,32 @@
 Outcome play(const Rig& rig, const Spec& spec, std::stop_token stop) {
   const auto begin = std::chrono::steady_clock::now();
   const Plan plan = make_plan(spec);
-  Outcome out{{}, StageWatch(spec, plan.origin), {}, {}, 0, 0, 0, 0, false, {}};
-  Run own = run(rig, spec, plan, &out.stages, stop);
+  Outcome out{{}, StageWatch(spec, plan.origin), {}, {}, 0, {}, 0, 0, 0, 0, false, {}};
+  Run own = run(rig, spec, plan, &out.stages, rig.hears, stop);
   Evidence e{spec, plan, std::move(own.findings), std::move(own.seen), {}, {}};
   out.events = own.info.events;
   out.played_ms = own.info.played_ms;
+  out.late_p99_ms = own.info.lateness_ms.p99;
   out.is_void = own.info.is_void || (own.info.stopped && !e.seen.endless);
   if (own.info.is_void) out.why_void = own.info.why_void.empty() ? "void" : own.info.why_void.front();
   out.whole = over(e.seen.whole, 0, spec.duration_ms);
   if (!out.is_void && !e.seen.endless) {
+    const Rig with = rig.calm ? Rig{rig.calm, true, {}, nullptr} : rig;
     Spec calm = spec;
     calm.events.clear();
-    Run beside = run(rig, calm, make_plan(calm), nullptr, stop);
+    Run beside = run(with, calm, make_plan(calm), nullptr, nullptr, stop);
     out.events += beside.info.events;
     out.calm = over(beside.seen.whole, 0, spec.duration_ms);
     if (!beside.info.stopped && !beside.info.is_void) e.calm = std::move(beside.seen);
-    if (routers_of(spec) >= kManyRouters && rig.exact) {
+    if (routers_of(spec) >= kManyRouters && with.exact) {
       const Spec four = with_four(spec);
-      beside = run(rig, four, make_plan(four), nullptr, stop);
+      beside = run(with, four, make_plan(four), nullptr, nullptr, stop);
       out.events += beside.info.events;
       if (!beside.info.stopped) e.four = std::move(beside.seen);
     }
   }
   out.verdicts = judge(e);
+  out.seen = std::move(e.seen);
   out.wall_s = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
   return out;
 }
--- a/lab/storm/storm.h
+++ b/lab/storm/storm.h
@@ -18,7 +18,9 @@
 
 struct Rig { // who plays, and what is granted to it
   MakeDriver driver;
-  bool exact = true; // virtual time; else 50 ms are granted to every time limit
+  bool exact = true;            // virtual time; else 50 ms are granted to every time limit
+  MakeDriver calm = {};         // plays the runs beside a storm, in virtual time; empty: `driver` does
+  model::Sink* hears = nullptr; // the records of the storm's own run too
 };
 
 struct Outcome {
@@ -26,7 +28,9 @@
   StageWatch stages;
   Cell whole, calm;
   std::uint64_t events = 0; // of all its runs
+  Seen seen;                // of its own run
   double played_ms = 0, wall_s = 0, hit_ratio = 0;
+  double late_p99_ms = 0; // sockets: of sends
   bool is_void = false;
   std::string why_void;
 
--- a/lab/virtual/virtual.cpp
+++ b/lab/virtual/virtual.cpp
@@ -6,6 +6,7 @@
 #include <ctime>
 
 #include "lab/virtual/world.h"
+#include "model/rng.h"
 
 namespace fernward::lab {
 namespace {
@@ -18,12 +19,14 @@
 
 class VirtualDriver : public Driver {
  public:
-  explicit VirtualDriver(Planted planted) : planted_(planted) {}
+  VirtualDriver(Planted planted, std::uint64_t chance) : planted_(planted), chance_(chance) {}
   RunInfo run(const model::Spec& spec, model::Sink& sink, const RunControl& control) override {
     RunInfo info;
     const double cpu = thread_cpu_s();
     const auto begin = std::chrono::steady_clock::now();
-    World world(spec, sink, planted_);
+    model::Spec drawn = spec;
+    if (chance_ > 0) drawn.seed = model::mix(spec.seed, chance_);
+    World world(drawn, sink, planted_, spec);
     world.run(control, info);
     info.wall_s = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
     info.cpu_s = thread_cpu_s() - cpu;
@@ -37,12 +40,13 @@
 
  private:
   const Planted planted_;
+  const std::uint64_t chance_;
 };
 
 } // namespace
 
-std::unique_ptr<Driver> make_virtual_driver(Planted planted) {
-  return std::make_unique<VirtualDriver>(planted);
+std::unique_ptr<Driver> make_virtual_driver(Planted planted, std::uint64_t chance) {
+  return std::make_unique<VirtualDriver>(planted, chance);
 }
 
 } // namespace fernward::lab
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -43,14 +43,14 @@
   return longest;
 }
 
-World::World(const model::Spec& spec, model::Sink& sink, Planted planted)
+World::World(const model::Spec& spec, model::Sink& sink, Planted planted, const model::Spec& asked)
     : spec_(spec),
       sink_(sink),
-      plan_(model::make_plan(spec)),
-      keys_(spec),
+      plan_(model::make_plan(asked)),
+      keys_(asked),
       aside_(2 * longest_give_up(spec) + 1000),
-      arrivals_(spec, plan_, keys_),
-      clients_(spec),
+      arrivals_(asked, plan_, keys_),
+      clients_(asked),
       front_(spec, plan_),
       network_(spec, plan_),
       discovery_(spec, plan_),
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -27,7 +27,10 @@
 class World : public Surroundings {
  public:
   // `spec` and `sink` outlive it; `spec` has no faults().
-  World(const model::Spec& spec, model::Sink& sink, Planted planted = Planted::None);
+  World(const model::Spec& spec, model::Sink& sink, Planted planted = Planted::None)
+      : World(spec, sink, planted, spec) {}
+  // The same plan and requests as `asked` has, which differs in its seed alone; the rest by chance as `spec` draws it.
+  World(const model::Spec& spec, model::Sink& sink, Planted planted, const model::Spec& asked);
 
   // Until all is answered, or the control asks to stop.
   void run(const RunControl& control, RunInfo& info);
--- /dev/null
+++ b/tests/lab/storm/beside_test.cpp
@@ -0,0 +1,168 @@
+// A storm on sockets beside virtual time: the arithmetic, plays that are void, and one small storm on real processes.
+#include "lab/storm/beside.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <cmath>
+
+#include "lab/rig/rig.h"
+#include "lab/virtual/virtual.h"
+
+using namespace fernward;
+using namespace fernward::lab;
+
+namespace {
+
+model::Spec small_storm() {
+  storm::Size size;
+  size.most_routers = 3;
+  size.most_nodes = 6;
+  size.most_rate = 20;
+  model::Spec spec = storm::draw(1, {}, size);
+  model::RouterPick first, second;
+  first.routers = {0};
+  second.routers = {1};
+  spec.routers.sharing.on = true;
+  spec.events = {{400, "", model::LoseDatagrams{first, 0.5, 0.3, 2500}},
+                 {600, "", model::PauseRouters{first, 1400}},
+                 {800, "", model::RestartRouters{second, model::RouterEnd::Kill, 600, 0, 0}},
+                 {1000, "", model::CutRouters{second, {}, true, model::CutWhat::Datagrams, 2000}},
+                 {1800, "", model::ReloadRouters{first}}};
+  spec.duration_ms = 4000;
+  return spec;
+}
+
+std::unique_ptr<Driver> in_virtual(std::uint64_t chance) {
+  return make_virtual_driver(Planted::None, chance);
+}
+
+// Says of its first plays that they were late.
+class Late : public Driver {
+ public:
+  explicit Late(int& left) : left_(left) {}
+  RunInfo run(const model::Spec& spec, model::Sink& sink, const RunControl& control) override {
+    RunInfo info = make_virtual_driver()->run(spec, sink, control);
+    info.is_void = left_-- > 0;
+    if (info.is_void) info.why_void = {"requests were sent late"};
+    return info;
+  }
+
+ private:
+  int& left_;
+};
+
+const storm::Verdict& verdict(const std::vector<storm::Verdict>& all, const char* name) {
+  return all[static_cast<std::size_t>(storm::find_oracle(name) - storm::oracles().data())];
+}
+
+struct Asked : model::Sink { // what clients ask, and when attempts come to machines
+  using model::Sink::on;
+  void on(const model::Drawn& d) override { drawn.push_back({d.at, static_cast<double>(d.key), d.work_ms}); }
+  void on(const model::Arrived& a) override { arrived.push_back(a.at); }
+  void on(const model::Mark& m) override { marks.push_back(m.at); }
+  std::vector<std::array<double, 3>> drawn;
+  std::vector<double> arrived, marks;
+};
+
+} // namespace
+
+TEST_CASE("the bound is four deviations of one more play and what is granted") {
+  const storm::Chance chance = storm::chance_of({0.8, 0.9, 1.0});
+  CHECK(chance.mean == doctest::Approx(0.9));
+  CHECK(chance.deviation == doctest::Approx(0.1));
+  const double four = 0.4 * std::sqrt(1 + 1 / 3.0);
+  CHECK(storm::distance(chance, 0.9 + four + 0.01, 0.01) == doctest::Approx(1));
+  CHECK(storm::distance(chance, 0.9 - (four + 0.01) / 2, 0.01) == doctest::Approx(0.5));
+  CHECK(storm::distance(chance, 0.9, 0) == doctest::Approx(0));
+  // Plays that are all alike leave only what is granted; without that anything else is beyond.
+  const storm::Chance none = storm::chance_of({1, 1, 1, 1});
+  CHECK(none.deviation == 0);
+  CHECK(storm::distance(none, 0.99, 0.01) == doctest::Approx(1));
+  CHECK(storm::distance(none, 0.99, 0) > 1e9);
+  CHECK(storm::distance(none, 1, 0) == 0);
+  CHECK(storm::chance_of({}).plays == 0);
+}
+
+TEST_CASE("other chance has the same requests and faults, and the usual one is the seed's") {
+  const model::Spec spec = small_storm();
+  Asked usual, again, other, third;
+  make_virtual_driver()->run(spec, usual);
+  in_virtual(0)->run(spec, again);
+  in_virtual(1)->run(spec, other);
+  in_virtual(2)->run(spec, third);
+  CHECK(usual.drawn.size() > 20);
+  CHECK(usual.marks.size() == 2 * spec.events.size());
+  for (const Asked* a : {&again, &other, &third}) {
+    CHECK(a->drawn == usual.drawn);
+    CHECK(a->marks == usual.marks);
+  }
+  CHECK(again.arrived == usual.arrived);
+  CHECK(other.arrived != usual.arrived);
+  CHECK(other.arrived != third.arrived);
+}
+
+TEST_CASE("a void play is told and tried again, at most as often as asked") {
+  int left = 2;
+  storm::Besides besides{[&] { return std::make_unique<Late>(left); }, in_virtual, 4, 3};
+  const storm::Pair third = storm::play_beside(besides, small_storm());
+  CHECK(third.judged);
+  CHECK(third.voided.size() == 2);
+  CHECK(third.agrees()); // the same driver on both sides
+  left = 9;
+  const storm::Pair never = storm::play_beside(besides, small_storm());
+  CHECK_FALSE(never.judged);
+  CHECK(never.voided.size() == 3);
+  CHECK(storm::pair_text(never).find("requests were sent late") != std::string::npos);
+  const storm::Agreement a = storm::agreement_of({third, never});
+  CHECK(a.judged == 1);
+  CHECK(a.agree == 1);
+  CHECK(a.voided == 1);
+  CHECK_FALSE(a.well());
+  CHECK(storm::agreement_of({third}).well());
+}
+
+TEST_CASE("what is beyond the bound, or breaks a sure oracle on one side, is not well") {
+  storm::Pair apart;
+  apart.judged = true;
+  apart.figures = {{{"service", 0.8, 0.01}, {0.9, 0.01, 16}, 2}, {{"hits", 0.8, 0.01}, {0.8, 0, 16}, 0}};
+  apart.furthest = 2;
+  storm::Agreement a = storm::agreement_of({apart});
+  CHECK(a.agree == 0);
+  CHECK(a.worst == 2);
+  CHECK(a.worst_points == doctest::Approx(10));
+  CHECK_FALSE(a.well());
+  apart.furthest = 0.5;
+  CHECK(storm::agreement_of({apart}).well());
+  apart.on_sockets.resize(storm::oracles().size());
+  apart.on_sockets[0].distance = 1; // one-answer
+  a = storm::agreement_of({apart});
+  CHECK(a.broke == 1);
+  CHECK_FALSE(a.well());
+}
+
+// Judged on what holds however busy the machine is: never on service or times.
+TEST_CASE("a small storm on real processes: the same requests, and rules that no lateness breaks") {
+  storm::Besides besides;
+  besides.sockets = [] {
+    RigOptions options;
+    options.program = FERNWARD_PROGRAM;
+    options.late_p99_ms = options.late_p999_ms = 1e9;
+    options.check_memory = false;
+    return make_rig_driver(options);
+  };
+  besides.in_virtual = in_virtual;
+  besides.plays = 2;
+  besides.tries = 1;
+  const storm::Pair pair = storm::play_beside(besides, small_storm());
+  REQUIRE(pair.judged);
+  for (const char* rule : {"one-answer", "repeats", "genuine", "alive", "accounts"}) {
+    INFO(rule);
+    CHECK(verdict(pair.in_virtual, rule).judged);
+    CHECK(verdict(pair.on_sockets, rule).judged);
+    CHECK_FALSE(verdict(pair.in_virtual, rule).broken());
+    CHECK_FALSE(verdict(pair.on_sockets, rule).broken());
+  }
+  CHECK(pair.figures.size() == 4 + pair.spec.classes.size());
+  CHECK(pair.figures.front().sockets.value > 0);
+}
