Virtual time: a router told to end serves kept connections on, as the program does

Told to end all at once, routers on sockets served on over kept connections and ended 1.9 to 2.7 s later; in virtual time (lab/virtual/world_clients.cpp) no answer after SIGTERM kept its connection, and they ended after 0.6 to 0.8 s and were started as much sooner.

Change: answers keep connections until a router drains, at the same time as in the program; it ends before that only where no connection is open.

--- a/lab/virtual/agenda.h
+++ b/lab/virtual/agenda.h
@@ -83,6 +83,7 @@
   RouterStart,       // number: router
   RouterTimer,       // number: router, handle: token, life
   RouterStops,       // number: router: it takes no more connections
+  RouterDrains,      // number: router: it serves kept connections no more
   RouterEnds,        // number: router: its time is over
   LinkRested,        // number: router, handle: link, life: its rest; it has rested as long as it may
   Guard,             // handle: exchange
--- a/lab/virtual/router.cpp
+++ b/lab/virtual/router.cpp
@@ -56,7 +56,7 @@
 void Router::start() {
   ++life_;
   defect_.restart();
-  stopping_ = stopped_ = false;
+  stopping_ = stopped_ = drained_ = false;
   list_index_ = 0;
   const std::uint64_t seed = model::mix(spec_.seed, place_.id, life_);
   balancer_ = std::make_unique<fernward::Balancer>(settings_, seed);
@@ -84,7 +84,7 @@
   fleet_.reset();
   events_.clear();
   door_.clear();
-  stopping_ = stopped_ = false;
+  stopping_ = stopped_ = drained_ = false;
   unanswered_ = open_ = 0;
   places_.clear();
   rests_ = lifetimes::Rests(router_idle_ms(spec_));
@@ -97,6 +97,8 @@
 
 void Router::stop_accepting() { stopped_ = true; }
 
+void Router::drain() { drained_ = true; }
+
 // ---- what happens: other routers (as src/peering/link.cpp) ----
 
 void Router::round() {
--- a/lab/virtual/router.h
+++ b/lab/virtual/router.h
@@ -106,7 +106,9 @@
   void start();
   void die();            // its exchanges, attempts and links are gone; the caller tells the other ends
   void stop_accepting(); // some time after SIGTERM
-  void wind_down();      // SIGTERM
+  void drain();          // later: kept connections are not served any more
+  bool keeps() const { return runs() && !drained_; } // its connections to clients, after an answer
+  void wind_down();                                  // SIGTERM
   bool finished() const { return stopped_ && unanswered_ == 0 && door_.empty(); }
 
   // ---- what happens ----
@@ -179,7 +181,7 @@
   std::deque<fernward::Event> events_;
   std::vector<fernward::Action> actions_;
   bool pumping_ = false;
-  bool stopping_ = false, stopped_ = false;
+  bool stopping_ = false, stopped_ = false, drained_ = false;
   const std::size_t routers_; // of the tier
   shared::Uses uses_;
   std::unique_ptr<shared::Fleet> fleet_;
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -179,6 +179,11 @@
     case Due::RouterStops:
       if (alive) routers_[due.number]->stop_accepting();
       break;
+    case Due::RouterDrains:
+      if (!alive) return;
+      routers_[due.number]->drain();
+      kept_[due.number] = 0;
+      break;
     case Due::RouterEnds:
       if (alive) router_dies(due.number, RouterEvent::What::Ended);
       return;
--- a/lab/virtual/world_clients.cpp
+++ b/lab/virtual/world_clients.cpp
@@ -147,10 +147,7 @@
   answered.retry_after_ms = retry_after_ms;
   const Router& router = *routers_[t.router];
   const bool whole = heard == Heard::Served || heard == Heard::Refused || heard == Heard::Failed;
-  if (whole && spec_.clients.keep_connections && router.accepts() && !router.stopping() &&
-      router.life() == t.life) {
-    ++kept_[t.router];
-  }
+  if (whole && spec_.clients.keep_connections && router.keeps() && router.life() == t.life) ++kept_[t.router];
   answered.surplus = !clients_.heard(now_, t.start.try_id, heard, retry_after_ms, client_acts_);
   sink_.on(answered);
   client_acts();
--- a/lab/virtual/world_routers.cpp
+++ b/lab/virtual/world_routers.cpp
@@ -15,6 +15,7 @@
 
 constexpr double kAcceptOnMs = 500; // a router takes connections for this long after SIGTERM
 constexpr double kFinishMs = 600;   // and what they brought gets this long beyond its deadline
+constexpr double kServeOnMs = 1500; // kept connections are served on for half of the time, but no longer
 constexpr double kStartMs = 30;     // from a router's start until it listens
 
 } // namespace
@@ -62,15 +63,19 @@
       if (router.runs()) pause(step.router);
       return;
     case What::Wake: return wake(step.router);
-    case What::Term:
+    case What::Term: { // as src/router/router.cpp
       if (!router.runs() || router.stopping()) return;
+      const double last = longest_give_up(spec_) + kFinishMs;
       event(step.router, RouterEvent::What::Term);
       router.wind_down();
       front_.stopping(now_, step.router);
       down_ms_[step.router] = step.down_ms;
       at(now_ + kAcceptOnMs, Due::RouterStops, step.router, 0, router.life());
-      at(now_ + longest_give_up(spec_) + kFinishMs, Due::RouterEnds, step.router, 0, router.life());
+      at(now_ + std::max(kAcceptOnMs, std::min(last / 2, kServeOnMs)), Due::RouterDrains, step.router, 0,
+         router.life());
+      at(now_ + last, Due::RouterEnds, step.router, 0, router.life());
       return;
+    }
     case What::Start: return at(now_ + kStartMs, Due::RouterStart, step.router, 0, 0);
     case What::Reload:
       if (!router.runs()) return;
@@ -90,10 +95,16 @@
   }
 }
 
+// It ends with its last connection: those that clients keep, and those with an answer on its way, are open until it drains.
 void World::check_end(RouterId router) {
-  if (routers_[router]->runs() && routers_[router]->stopping() && routers_[router]->finished()) {
-    router_dies(router, RouterEvent::What::Ended);
+  const Router& r = *routers_[router];
+  if (!r.runs() || !r.stopping() || !r.finished()) return;
+  if (r.keeps()) {
+    bool open = kept_[router] > 0;
+    tries_.each([&](Handle, const Try& t) { open |= t.router == router && t.answered && !t.over; });
+    if (open && spec_.clients.keep_connections) return;
   }
+  router_dies(router, RouterEvent::What::Ended);
 }
 
 // Its process is gone: connections reset on both sides.
@@ -165,6 +176,7 @@
     case Due::GoneAtRouter:
     case Due::RouterTimer:
     case Due::RouterStops:
+    case Due::RouterDrains:
     case Due::RouterEnds:
     case Due::LinkRested:
     case Due::Guard:
--- a/tests/lab/virtual/virtual_test.cpp
+++ b/tests/lab/virtual/virtual_test.cpp
@@ -253,6 +253,44 @@
   }
 }
 
+// As src/router/router.cpp does it: a fleet on sockets ended seconds later than one in virtual time before.
+TEST_CASE(
+    "a router told to end serves kept connections on for half of its time, and ends sooner where none is "
+    "kept") {
+  struct Ends : Sink {
+    void on(const Tried& t) override { tries[t.try_id] = t; }
+    void on(const Answered& a) override {
+      const Tried& t = tries[a.try_id];
+      if (a.heard == Heard::Served && t.at > 3600 && t.at < 4100) ++(t.new_connection ? anew : kept);
+    }
+    void on(const RouterEvent& e) override {
+      if (e.what == RouterEvent::What::Ended) ended.push_back(e.at);
+    }
+    std::map<TryId, Tried> tries;
+    std::vector<double> ended;
+    int kept = 0, anew = 0;
+  };
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    Spec spec = test::ports(410, 11);
+    spec.seed = seed;
+    spec.events = {event(3000, RestartRouters{{}, RouterEnd::Term, 1000, 0, 0})};
+    double longest = 0;
+    for (const ClassSpec& c : spec.classes) longest = std::max(longest, c.give_up_ms);
+    const double half = (longest + 600) / 2; // less than 1.5 s here
+    Ends keeps, anew;
+    make_virtual_driver()->run(spec, keeps);
+    CHECK(keeps.kept > 100);
+    CHECK(keeps.anew == 0);
+    CHECK(keeps.ended.size() == 4);
+    for (const double at : keeps.ended) CHECK(at >= 3000 + half);
+    spec.clients.keep_connections = false;
+    make_virtual_driver()->run(spec, anew);
+    CHECK(anew.kept == 0);
+    CHECK(anew.ended.size() == 4);
+    CHECK(anew.ended.front() < 3000 + half);
+  }
+}
+
 TEST_CASE("nodes on standby come cold into service, and a shrunk fleet grows again") {
   Spec spec = test::ports(410, 16);
   spec.nodes[0].standby = 3;
