Storms beside: the records of both sides as lines

Need: a difference between sockets and virtual time is explained by what one request went through on both.

Change: `--records FOLDER` writes the records of the first play in virtual time and of that on sockets, a line each.

--- a/lab/commands/storm.cpp
+++ b/lab/commands/storm.cpp
@@ -161,6 +161,8 @@
       cxxopts::value<std::uint32_t>()->default_value("0"))(
       "tries", "--beside: plays on sockets of a storm, while they are void",
       cxxopts::value<std::uint32_t>()->default_value("3"))(
+      "records", "--beside: a folder for the records of both sides, a line each",
+      cxxopts::value<std::string>()->default_value(""))(
       "most-seconds", "--beside: longer storms are left out", cxxopts::value<double>()->default_value("30"))(
       "planted", "A defect put into the routers of virtual time, to see what finds it",
       cxxopts::value<std::string>()->default_value("none"))(
@@ -207,7 +209,8 @@
     season.size.whole = false;
     const storm::Besides besides{
         rig.driver, [](std::uint64_t chance) { return make_virtual_driver(Planted::None, chance); }, plays,
-        std::max(1u, parsed["tries"].as<std::uint32_t>())};
+        std::max(1u, parsed["tries"].as<std::uint32_t>()), parsed["records"].as<std::string>()};
+    if (!besides.records.empty()) fs::create_directories(besides.records);
     return play_besides(besides, season.first_seed, season.storms, season.size,
                         parsed["most-seconds"].as<double>(), out, stop);
   }
--- a/lab/storm/beside.cpp
+++ b/lab/storm/beside.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "lab/storm/format.h"
+#include "lab/storm/lines.h"
 
 namespace fernward::lab::storm {
 
@@ -21,6 +22,20 @@
   return !v.judged ? "-" : v.broken() ? format("BROKEN %.2f", v.distance) : format("kept %.2f", v.distance);
 }
 
+// What a play's records are told to: its reads, and lines where they are kept.
+struct Hearing {
+  Hearing(const std::string& folder, const std::string& name, Reads& reads) : tee({}) {
+    std::vector<Sink*> sinks = {&reads};
+    if (!folder.empty()) {
+      lines = std::make_unique<Lines>(folder + "/" + name + ".txt");
+      sinks.push_back(lines.get());
+    }
+    tee = Tee(sinks);
+  }
+  std::unique_ptr<Lines> lines;
+  Tee tee;
+};
+
 } // namespace
 
 Chance chance_of(const std::vector<double>& values) {
@@ -91,7 +106,8 @@
     Rig rig;
     rig.driver = [&] { return besides.in_virtual(i); };
     rig.calm = [&] { return besides.in_virtual(0); };
-    rig.hears = &reads;
+    Hearing hearing(i == 0 ? besides.records : "", spec.name + ".virtual", reads);
+    rig.hears = &hearing.tee;
     Outcome out = play(rig, spec, stop);
     bool broke = false;
     for (std::size_t o = 0; o < out.verdicts.size(); ++o)
@@ -108,7 +124,8 @@
     rig.driver = besides.sockets;
     rig.exact = false;
     rig.calm = [&] { return besides.in_virtual(0); };
-    rig.hears = &reads;
+    Hearing hearing(besides.records, spec.name + ".sockets", reads);
+    rig.hears = &hearing.tee;
     Outcome out = play(rig, spec, stop);
     pair.late_p99_ms = out.late_p99_ms;
     if (out.is_void) {
