--- a/lab/storm/beside.h
+++ b/lab/storm/beside.h
@@ -74,7 +74,7 @@
   std::function<std::unique_ptr<Driver>(std::uint64_t chance)> in_virtual; // 0: as the seed has it
   std::uint32_t plays = 16;                                                // further ones in virtual time
   std::uint32_t tries = 3;                                                 // on sockets, while they are void
-  std::string records = {}; // a folder for records: of the first play in virtual time and of sockets; empty: none
+  std::string records = {}; // a folder for records of the first play in virtual time and of sockets
 };
 Pair play_beside(const Besides& besides, const model::Spec& spec, std::stop_token stop = {});
 
