--- a/lab/storm/beside.cpp
+++ b/lab/storm/beside.cpp
@@ -17,6 +17,7 @@
 constexpr double kGrantedService = 0.01;
 constexpr double kGrantedHits = 0.02;
 constexpr double kGrantedReads = 0.01; // for each request
+constexpr double kWide = 0.05;         // a bound beyond this says little of the model
 
 std::string verdict_text(const Verdict& v) {
   return !v.judged ? "-" : v.broken() ? format("BROKEN %.2f", v.distance) : format("kept %.2f", v.distance);
@@ -44,6 +45,9 @@
   if (values.empty()) return c;
   for (const double v : values) c.mean += v;
   c.mean /= static_cast<double>(c.plays);
+  const auto [least, most] = std::minmax_element(values.begin(), values.end());
+  c.least = *least;
+  c.most = *most;
   if (c.plays < 2) return c;
   double squares = 0;
   for (const double v : values) squares += (v - c.mean) * (v - c.mean);
@@ -51,11 +55,14 @@
   return c;
 }
 
+double bound(const Chance& chance, double granted) {
+  const double spread = chance.plays > 0 ? std::sqrt(1 + 1 / static_cast<double>(chance.plays)) : 1;
+  return kDeviations * chance.deviation * spread + granted;
+}
+
 double distance(const Chance& chance, double seen, double granted) {
   const double off = std::abs(seen - chance.mean);
-  if (off == 0) return 0;
-  const double spread = chance.plays > 0 ? std::sqrt(1 + 1 / static_cast<double>(chance.plays)) : 1;
-  return off / (kDeviations * chance.deviation * spread + granted);
+  return off == 0 ? 0 : off / bound(chance, granted);
 }
 
 void Reads::on(const AttemptEnded& e) {
@@ -158,9 +165,9 @@
   text +=
       format("  %-10s %8s %8s %9s %8s %8s\n", "", "sockets", "virtual", "deviation", "granted", "distance");
   for (const Compared& c : pair.figures) {
-    text += format("  %-10s %8.4f %8.4f %9.4f %8.4f %8.2f%s\n", c.sockets.name.c_str(), c.sockets.value,
-                   c.chance.mean, c.chance.deviation, c.sockets.granted, c.distance,
-                   c.distance >= 1 ? "  BEYOND" : "");
+    text += format("  %-10s %8.4f %8.4f %9.4f %8.4f %8.4f %8.4f %8.2f%s\n", c.sockets.name.c_str(),
+                   c.sockets.value, c.chance.mean, c.chance.deviation, c.chance.least, c.chance.most,
+                   c.sockets.granted, c.distance, c.distance >= 1 ? "  BEYOND" : "");
   }
   std::size_t kept = 0, judged = 0;
   for (std::size_t i = 0; i < pair.on_sockets.size(); ++i) {
@@ -194,6 +201,7 @@
     const double points = 100 * std::abs(service.sockets.value - service.chance.mean);
     a.mean_points += points;
     a.worst_points = std::max(a.worst_points, points);
+    a.wide += bound(service.chance, service.sockets.granted) > kWide ? 1 : 0;
   }
   if (a.judged > 0) {
     a.mean /= a.judged;
@@ -204,9 +212,10 @@
 
 std::string agreement_text(const Agreement& a) {
   return format(
-      "%u of %u storms agree; distance %.2f on average, %.2f at most; service apart by %.2f points, %.2f "
+      "%u of %u storms agree, %u with a bound beyond 5 points; distance %.2f on average, %.2f at most; "
+      "service apart by %.2f points, %.2f "
       "at most; %u void, %u broke a sure oracle\n",
-      a.agree, a.judged, a.mean, a.worst, a.mean_points, a.worst_points, a.voided, a.broke);
+      a.agree, a.judged, a.wide, a.mean, a.worst, a.mean_points, a.worst_points, a.voided, a.broke);
 }
 
 } // namespace fernward::lab::storm
--- a/lab/storm/beside.h
+++ b/lab/storm/beside.h
@@ -19,11 +19,12 @@
 // ---- arithmetic ----
 
 struct Chance { // of a figure, over plays that differ by chance alone
-  double mean = 0, deviation = 0;
+  double mean = 0, deviation = 0, least = 0, most = 0;
   std::size_t plays = 0;
 };
 Chance chance_of(const std::vector<double>& values);
 // How far `seen` is from the plays; 1 is the bound. One more play lies as far from their mean as the mean itself may be off.
+double bound(const Chance& chance, double granted); // how far off agrees
 double distance(const Chance& chance, double seen, double granted);
 
 // ---- one play's figures ----
@@ -84,7 +85,8 @@
 struct Agreement {
   std::uint32_t judged = 0, agree = 0, voided = 0, broke = 0; // broke: a sure oracle, on either side
   double mean = 0, worst = 0;                                 // of the furthest figures
-  double mean_points = 0, worst_points = 0;                   // of the whole's service, 0.01 each
+  std::uint32_t wide = 0;                   // storms that chance alone moves by more than 5 points
+  double mean_points = 0, worst_points = 0; // of the whole's service, 0.01 each
   bool well() const { return judged > 0 && agree == judged && voided == 0 && broke == 0; }
 };
 Agreement agreement_of(const std::vector<Pair>& pairs);
--- a/tests/lab/storm/beside_test.cpp
+++ b/tests/lab/storm/beside_test.cpp
@@ -71,6 +71,8 @@
   const storm::Chance chance = storm::chance_of({0.8, 0.9, 1.0});
   CHECK(chance.mean == doctest::Approx(0.9));
   CHECK(chance.deviation == doctest::Approx(0.1));
+  CHECK(chance.least == 0.8);
+  CHECK(chance.most == 1.0);
   const double four = 0.4 * std::sqrt(1 + 1 / 3.0);
   CHECK(storm::distance(chance, 0.9 + four + 0.01, 0.01) == doctest::Approx(1));
   CHECK(storm::distance(chance, 0.9 - (four + 0.01) / 2, 0.01) == doctest::Approx(0.5));
@@ -125,11 +127,13 @@
 TEST_CASE("what is beyond the bound, or breaks a sure oracle on one side, is not well") {
   storm::Pair apart;
   apart.judged = true;
-  apart.figures = {{{"service", 0.8, 0.01}, {0.9, 0.01, 16}, 2}, {{"hits", 0.8, 0.01}, {0.8, 0, 16}, 0}};
+  apart.figures = {{{"service", 0.8, 0.01}, {0.9, 0.01, 0.88, 0.92, 16}, 2},
+                   {{"hits", 0.8, 0.01}, {0.8, 0, 0.8, 0.8, 16}, 0}};
   apart.furthest = 2;
   storm::Agreement a = storm::agreement_of({apart});
   CHECK(a.agree == 0);
   CHECK(a.worst == 2);
+  CHECK(a.wide == 1); // four deviations and a point
   CHECK(a.worst_points == doctest::Approx(10));
   CHECK_FALSE(a.well());
   apart.furthest = 0.5;
