Virtual time: connections of a silent machine hold a router that ends, as on sockets

Change: what is open as silence begins counts as open until the router drains or its machine is back.

--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -59,6 +59,7 @@
       machines_(make_machines(plan_)),
       places_(plan_.machines.size()),
       kept_(plan_.routers.size()),
+      stuck_(plan_.routers.size()),
       down_ms_(plan_.routers.size(), -1),
       pauses_(plan_.routers.size()),
       spoken_(plan_.routers.size()),
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -168,6 +168,7 @@
   std::vector<Place> places_;
   std::vector<std::unique_ptr<Router>> routers_;
   std::vector<std::uint32_t> kept_; // clients' connections at rest, by router
+  std::vector<char> stuck_;         // by router: it has connections to clients that nothing passes on
   std::vector<double> down_ms_;     // of a router that is to end: until it is started again; below 0: never
   std::vector<Pause> pauses_;       // by router
   Table<Datagram> datagrams_;
--- a/lab/virtual/world_routers.cpp
+++ b/lab/virtual/world_routers.cpp
@@ -84,14 +84,17 @@
       return tell(step.router);
     case What::Silence:
       event(step.router, RouterEvent::What::Silent);
+      stuck_[step.router] = kept_[step.router] > 0;
+      tries_.each([&](Handle, const Try& t) { stuck_[step.router] |= t.router == step.router && !t.over; });
       kept_[step.router] = 0;
       return front_.down(now_, step.router);
     case What::Return:
       event(step.router, RouterEvent::What::Returned);
+      stuck_[step.router] = 0;
       free_ways();
       tell(step.router);
       if (router.ready() && !pauses_[step.router].on) front_.up(now_, step.router);
-      return;
+      return check_end(step.router);
   }
 }
 
@@ -100,7 +103,7 @@
   const Router& r = *routers_[router];
   if (!r.runs() || !r.stopping() || !r.finished()) return;
   if (r.keeps()) {
-    bool open = kept_[router] > 0;
+    bool open = kept_[router] > 0 || stuck_[router] != 0;
     tries_.each([&](Handle, const Try& t) { open |= t.router == router && t.answered && !t.over; });
     if (open && spec_.clients.keep_connections) return;
   }
@@ -115,6 +118,7 @@
   routers_[router]->die();
   front_.down(now_, router);
   kept_[router] = 0;
+  stuck_[router] = 0;
   std::vector<Handle> gone;
   tries_.each([&](Handle client, Try& t) {
     if (t.router != router || !t.taken || t.answered) return;
--- a/tests/lab/virtual/virtual_test.cpp
+++ b/tests/lab/virtual/virtual_test.cpp
@@ -288,6 +288,16 @@
     CHECK(anew.kept == 0);
     CHECK(anew.ended.size() == 4);
     CHECK(anew.ended.front() < 3000 + half);
+    // What clients kept neither side can close while nothing passes.
+    Ends cut;
+    RouterPick first;
+    first.routers = {0};
+    spec.clients.keep_connections = true;
+    spec.events = {event(3000, LostZone{0, 9000, true}),
+                   event(3100, RestartRouters{first, RouterEnd::Term, 1000, 0, 0})};
+    make_virtual_driver()->run(spec, cut);
+    CHECK(cut.ended.size() == 1);
+    CHECK(cut.ended.front() >= 3100 + half);
   }
 }
 
