Virtual time: routers are told which answer was a connection's first, as the program tells them

On sockets routers said "origin refuses further connections", in virtual time "origin crowded": the module takes a full origin for short of places where the answer was the first of its connection (src/policy/outcome.cpp), and cuts no limit then; the program tells it (src/egress/pool.cpp), lab/virtual/router.cpp never did.

Change: Outcome::first is set from the link's present request.

--- a/lab/virtual/router.cpp
+++ b/lab/virtual/router.cpp
@@ -540,7 +540,9 @@
   x->attempts[a.number] = 0;
   --x->out;
   if (result == Result::Ok) finish(a.exchange, model::Heard::Served, 0);
-  outcome(a.exchange, a.number, a.machine, now() - a.sent_at, result, std::move(report), rested);
+  const Link* l = world_.links().find(a.link);
+  const bool first = l != nullptr && l->rested_ms < 0;
+  outcome(a.exchange, a.number, a.machine, now() - a.sent_at, result, std::move(report), rested, first);
   drop_if_done(a.exchange);
 }
 
@@ -568,7 +570,7 @@
 }
 
 void Router::outcome(Handle exchange, std::uint32_t number, model::MachineId machine, double elapsed,
-                     Result result, std::vector<float> report, bool rested) {
+                     Result result, std::vector<float> report, bool rested, bool first) {
   const Exchange* x = world_.exchanges().find(exchange);
   fernward::Outcome told;
   told.id = exchange;
@@ -579,6 +581,7 @@
   told.ended = x == nullptr || x->over;
   told.report = std::move(report);
   told.rested = rested;
+  told.first = first;
   enqueue(std::move(told));
 }
 
--- a/lab/virtual/router.h
+++ b/lab/virtual/router.h
@@ -153,7 +153,8 @@
   void stop(Handle attempt, fernward::Result result);
   void end_attempt(Handle attempt, fernward::Result result, std::vector<float> report, bool rested = false);
   void outcome(Handle exchange, std::uint32_t number, model::MachineId machine, double elapsed,
-               fernward::Result result, std::vector<float> report = {}, bool rested = false);
+               fernward::Result result, std::vector<float> report = {}, bool rested = false,
+               bool first = false);
   void finish(Handle exchange, std::optional<model::Heard> heard, double retry_after_ms);
   void drop_if_done(Handle exchange);
   bool in_service(model::MachineId machine) const { return known_[machine].state == ServerState::Ready; }
--- a/tests/lab/virtual/virtual_test.cpp
+++ b/tests/lab/virtual/virtual_test.cpp
@@ -253,6 +253,26 @@
   }
 }
 
+// A router takes what turns away the first request of a connection for short of places, not of room. Routers in virtual
+// time were never told that it was the first.
+TEST_CASE("an origin that turns away the first request of a connection is said to refuse further ones") {
+  struct Says : Sink {
+    void on(const RouterLog& l) override {
+      refuses += std::string(l.text).find("origin refuses further connections") != std::string::npos;
+    }
+    int refuses = 0;
+  };
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    Spec spec = test::ports(410, 11);
+    spec.seed = seed;
+    spec.origin.queue_ms = 300;
+    spec.events = {event(3000, RestartNodes{{}, 500}), event(4000, OriginSlow{0.2, 8000})};
+    Says says;
+    make_virtual_driver()->run(spec, says);
+    CHECK(says.refuses > 0);
+  }
+}
+
 // As src/router/router.cpp does it: a fleet on sockets ended seconds later than one in virtual time before.
 TEST_CASE(
     "a router told to end serves kept connections on for half of its time, and ends sooner where none is "
