--- a/lab/virtual/router.cpp
+++ b/lab/virtual/router.cpp
@@ -56,7 +56,7 @@
 void Router::start() {
   ++life_;
   defect_.restart();
-  stopping_ = stopped_ = false;
+  stopping_ = stopped_ = drained_ = false;
   list_index_ = 0;
   const std::uint64_t seed = model::mix(spec_.seed, place_.id, life_);
   balancer_ = std::make_unique<fernward::Balancer>(settings_, seed);
@@ -84,7 +84,7 @@
   fleet_.reset();
   events_.clear();
   door_.clear();
-  stopping_ = stopped_ = false;
+  stopping_ = stopped_ = drained_ = false;
   unanswered_ = open_ = 0;
   places_.clear();
   rests_ = lifetimes::Rests(router_idle_ms(spec_));
@@ -97,6 +97,8 @@
 
 void Router::stop_accepting() { stopped_ = true; }
 
+void Router::drain() { drained_ = true; }
+
 // ---- what happens: other routers (as src/peering/link.cpp) ----
 
 void Router::round() {
@@ -538,7 +540,9 @@
   x->attempts[a.number] = 0;
   --x->out;
   if (result == Result::Ok) finish(a.exchange, model::Heard::Served, 0);
-  outcome(a.exchange, a.number, a.machine, now() - a.sent_at, result, std::move(report), rested);
+  const Link* l = world_.links().find(a.link);
+  const bool first = l != nullptr && l->rested_ms < 0;
+  outcome(a.exchange, a.number, a.machine, now() - a.sent_at, result, std::move(report), rested, first);
   drop_if_done(a.exchange);
 }
 
@@ -566,7 +570,7 @@
 }
 
 void Router::outcome(Handle exchange, std::uint32_t number, model::MachineId machine, double elapsed,
-                     Result result, std::vector<float> report, bool rested) {
+                     Result result, std::vector<float> report, bool rested, bool first) {
   const Exchange* x = world_.exchanges().find(exchange);
   fernward::Outcome told;
   told.id = exchange;
@@ -577,6 +581,7 @@
   told.ended = x == nullptr || x->over;
   told.report = std::move(report);
   told.rested = rested;
+  told.first = first;
   enqueue(std::move(told));
 }
 
--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -43,14 +43,14 @@
   return longest;
 }
 
-World::World(const model::Spec& spec, model::Sink& sink, Planted planted)
+World::World(const model::Spec& spec, model::Sink& sink, Planted planted, const model::Spec& asked)
     : spec_(spec),
       sink_(sink),
-      plan_(model::make_plan(spec)),
-      keys_(spec),
+      plan_(model::make_plan(asked)),
+      keys_(asked),
       aside_(2 * longest_give_up(spec) + 1000),
-      arrivals_(spec, plan_, keys_),
-      clients_(spec),
+      arrivals_(asked, plan_, keys_),
+      clients_(asked),
       front_(spec, plan_),
       network_(spec, plan_),
       discovery_(spec, plan_),
@@ -59,6 +59,7 @@
       machines_(make_machines(plan_)),
       places_(plan_.machines.size()),
       kept_(plan_.routers.size()),
+      stuck_(plan_.routers.size()),
       down_ms_(plan_.routers.size(), -1),
       pauses_(plan_.routers.size()),
       spoken_(plan_.routers.size()),
@@ -179,6 +180,11 @@
     case Due::RouterStops:
       if (alive) routers_[due.number]->stop_accepting();
       break;
+    case Due::RouterDrains:
+      if (!alive) return;
+      routers_[due.number]->drain();
+      kept_[due.number] = 0;
+      break;
     case Due::RouterEnds:
       if (alive) router_dies(due.number, RouterEvent::What::Ended);
       return;
--- a/lab/virtual/world.h
+++ b/lab/virtual/world.h
@@ -27,7 +27,10 @@
 class World : public Surroundings {
  public:
   // `spec` and `sink` outlive it; `spec` has no faults().
-  World(const model::Spec& spec, model::Sink& sink, Planted planted = Planted::None);
+  World(const model::Spec& spec, model::Sink& sink, Planted planted = Planted::None)
+      : World(spec, sink, planted, spec) {}
+  // The same plan and requests as `asked` has, which differs in its seed alone; the rest by chance as `spec` draws it.
+  World(const model::Spec& spec, model::Sink& sink, Planted planted, const model::Spec& asked);
 
   // Until all is answered, or the control asks to stop.
   void run(const RunControl& control, RunInfo& info);
@@ -165,6 +168,7 @@
   std::vector<Place> places_;
   std::vector<std::unique_ptr<Router>> routers_;
   std::vector<std::uint32_t> kept_; // clients' connections at rest, by router
+  std::vector<char> stuck_;         // by router: it has connections to clients that nothing passes on
   std::vector<double> down_ms_;     // of a router that is to end: until it is started again; below 0: never
   std::vector<Pause> pauses_;       // by router
   Table<Datagram> datagrams_;
