--- a/lab/storm/watch.h
+++ b/lab/storm/watch.h
@@ -95,6 +95,7 @@
   Seen seen_;
   std::unordered_map<model::RequestNumber, Open> open_;
   std::vector<char> up_;       // routers
+  std::vector<char> silent_;   // those that are cut off from everything, for now
   std::vector<char> believed_; // by router and machine
   std::vector<std::uint32_t> believers_;
   std::vector<double> withdrawn_at_;  // by machine: when fewer than two were left that believed it in service
