--- a/lab/virtual/world.cpp
+++ b/lab/virtual/world.cpp
@@ -17,12 +17,13 @@
 constexpr double kLeaveMs = 30000;    // work that machines still do then is left alone
 constexpr std::uint64_t kLook = 4096; // at the control, once in so many events
 
-Machines make_machines(const model::Plan& plan) {
+// `salt`: which node holds which key is chance too, as the program hashes keys and names by itself.
+Machines make_machines(const model::Plan& plan, std::uint64_t salt) {
   Machines all;
   for (const model::Machine& m : plan.machines) {
     fernward::Server server;
     // Another number where two names share one, so that no machine stands in for another.
-    std::uint64_t hash = XXH3_64bits(m.name.data(), m.name.size());
+    std::uint64_t hash = XXH3_64bits_withSeed(m.name.data(), m.name.size(), salt);
     while (all.by_id.count(static_cast<fernward::ServerId>(hash)) > 0) ++hash;
     server.id = static_cast<fernward::ServerId>(hash);
     server.kind = m.kind;
@@ -56,7 +57,7 @@
       discovery_(spec, plan_),
       noise_(model::stream(spec.seed, "attempt noise")),
       bad_(model::stream(spec.seed, "bad answers")),
-      machines_(make_machines(plan_)),
+      machines_(make_machines(plan_, spec.seed == asked.seed ? 0 : spec.seed)),
       places_(plan_.machines.size()),
       kept_(plan_.routers.size()),
       stuck_(plan_.routers.size()),
