Parts of the ledger's limit: one that alone is asked takes no more than half of the whole

Found by storms (oracle parts, 94 to 125 of 3,000, nine in ten in tiers of three): as the outermost words are left out, the ratio was that of the idle routers, and dealt several times the whole to the one that is asked (src/shared/facts.cpp, part()):, demands 11.9, none, none and limits 9.3, 10.4, 10.7 gave parts of 84.0, 10.7, 10.7.

Change: beyond what it holds a router takes n/2 times the second largest limit at most, which one liar can't move.

Ruled out: parts by all words, without leaving any out: a liar that wants much and claims to hold nothing then drains the others geometrically, round by round; half of the limit dealt evenly: the same, slower.

--- a/src/shared/facts.cpp
+++ b/src/shared/facts.cpp
@@ -169,7 +169,14 @@
     limits += heard_[i].weight * heard_[i].limit;
     demands += heard_[i].weight * heard_[i].demand;
   }
-  return limits / demands * (std::min(mine, most) + idle);
+  const double part = limits / demands * (std::min(mine, most) + idle);
+  if (n < 3) return part; // nothing was left out: parts add up to what is held
+  // Left out are honest ones, too: where one is asked and the others are not, the ratio is that of idle ones, who keep what they
+  // hold, and would deal several times the whole to the one that is asked.
+  std::nth_element(heard_.begin(), heard_.begin() + 1, heard_.end(),
+                   [](const Heard& a, const Heard& b) { return a.limit > b.limit; });
+  const double held = all_[self_].values[static_cast<std::size_t>(What::Limit)];
+  return std::min(part, std::max(held, heard_[1].limit * static_cast<double>(n) / 2));
 }
 
 Facts::Answers Facts::answers(double now) {
--- a/src/shared/facts.h
+++ b/src/shared/facts.h
@@ -80,7 +80,8 @@
   // was when the others' words were made, its own demand too: one of now against those would deal out more than there is
   // while demand rises. So the parts of all add up to what they hold. Left out are the eighth that hold the most for what
   // they want and the one that holds the least: a liar's word moves no part beyond what honest ones have, in however many
-  // rounds.
+  // rounds. Beyond what it holds a router takes no more than half of what all would have if each held what the second of them
+  // does: with one asked alone the parts come to one and a half times what was held at most.
   double part(double now);
   // The ledger's response time of late: the mean of what routers saw, without the eighth at each end. `age_ms`: of these
   // words, on average. Nothing where fewer than three have an answer.
--- a/tests/shared/shared_test.cpp
+++ b/tests/shared/shared_test.cpp
@@ -122,6 +122,20 @@
   CHECK(t.own[20].limit > 0.05); // nobody is left with nothing
 }
 
+TEST_CASE(
+    "where one alone is asked, parts come to one and a half times what was held at most, however long") {
+  for (const std::size_t n : {3u, 4u, 9u, 20u}) {
+    CAPTURE(n);
+    Tier t(n, 8);
+    for (auto& own : t.own) own = {0, 10};
+    t.own[0].demand = 12;
+    follow(t);
+    t.run(60000);
+    CHECK(sum(t) < 1.5 * 10 * static_cast<double>(n));
+    CHECK(t.own[0].limit > 12);
+  }
+}
+
 TEST_CASE("one that comes back knowing nothing has its part after the first exchange") {
   Tier t(40, 7);
   for (auto& own : t.own) own = {1, 2};
