One format() and one timing for benches; comments that say what the code does now

Need: reading the change as a whole. format() stood in the page of reports and in the storms, cpu_us() and median() in two benches, the drawing of nodes that begin anew twice. Comments said that the response time told is of the last second or two (it is gone after 0.8 s), and that a liar's datagram has the room of a true one (90 of 128 bytes).

--- a/bench/choosing.cpp
+++ b/bench/choosing.cpp
@@ -2,27 +2,17 @@
 // keys move; and of a list that changes much. Times are CPU of this thread; each figure is the median of its rounds.
 #include <algorithm>
 #include <cstdio>
-#include <ctime>
 #include <cxxopts.hpp>
 #include <exception>
 #include <vector>
 
 #include "fernward/choice.h"
+#include "timing.h"
 
 namespace {
 
 using namespace fernward;
-
-double cpu_us() {
-  timespec t{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
-  return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_nsec) / 1e3;
-}
-
-double median(std::vector<double> values) {
-  std::sort(values.begin(), values.end());
-  return values[values.size() / 2];
-}
+using namespace fernward::bench;
 
 Settings settings(bool resize) {
   Settings s;
--- a/bench/sharing.cpp
+++ b/bench/sharing.cpp
@@ -3,7 +3,6 @@
 // Times are CPU of this thread; each figure is the median of its rounds.
 #include <algorithm>
 #include <cstdio>
-#include <ctime>
 #include <cxxopts.hpp>
 #include <deque>
 #include <exception>
@@ -11,24 +10,15 @@
 #include <vector>
 
 #include "shared/fleet.h"
+#include "timing.h"
 
 namespace {
 
 using namespace fernward;
+using namespace fernward::bench;
 
 constexpr double kPeriodMs = 400, kWarmMs = 20000;
 
-double cpu_us() {
-  timespec t{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
-  return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_nsec) / 1e3;
-}
-
-double median(std::vector<double> values) {
-  std::sort(values.begin(), values.end());
-  return values[values.size() / 2];
-}
-
 struct Cost {
   double us = 0, count = 0;
   double each() const { return count > 0 ? us / count : 0; }
--- /dev/null
+++ b/bench/timing.h
@@ -0,0 +1,23 @@
+// What benches measure by.
+#pragma once
+
+#include <algorithm>
+#include <ctime>
+#include <vector>
+
+namespace fernward::bench {
+
+// Of this thread, in microseconds.
+inline double cpu_us() {
+  timespec t{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+  return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_nsec) / 1e3;
+}
+
+// `values`: at least one.
+inline double median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+} // namespace fernward::bench
--- a/include/fernward/choice.h
+++ b/include/fernward/choice.h
@@ -257,7 +257,7 @@
   bool avoids(ServerId server) const;
 
   // What the others may be told of the origin: attempts at once that are wanted here (below 0: not known yet), and what
-  // the limit lets this node have; its response time in the last second or two (0: no answer).
+  // the limit lets this node have; its response time of late (0: no answer for 0.8 s).
   struct Ledger {
     double demand = -1, limit = 0, answer_ms = 0;
   };
--- a/lab/lies/liar.cpp
+++ b/lab/lies/liar.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kAccused = 3;    // in a datagram
 constexpr std::size_t kMostWords = 8;  // beside the router's own: facts must have room
-constexpr std::size_t kFactsRoom = 90; // bytes, as a true datagram has
+constexpr std::size_t kFactsRoom = 90; // bytes; a true datagram has up to 128 (shared/fleet.cpp)
 constexpr std::uint16_t kLater = 1000; // words by which a false stamp is ahead of the true one
 
 double extreme(model::Claim claim, What what) {
--- a/lab/report/html.cpp
+++ b/lab/report/html.cpp
@@ -1,9 +1,9 @@
 #include "lab/report/html.h"
 
-#include <cstdarg>
 #include <cstdio>
 
 #include "lab/report/files.h"
+#include "lab/stats/format.h"
 
 namespace fernward::lab {
 namespace {
@@ -25,15 +25,6 @@
   max-height: 420px; } code { background: #f2f2f2; padding: 1px 4px; }
 )";
 
-__attribute__((format(printf, 1, 2))) std::string format(const char* pattern, ...) {
-  char text[256];
-  va_list arguments;
-  va_start(arguments, pattern);
-  std::vsnprintf(text, sizeof text, pattern, arguments);
-  va_end(arguments);
-  return text;
-}
-
 std::string percent(double share) { return format("%.2f%%", 100 * share); }
 std::string percent(std::uint64_t part, std::uint64_t of) {
   return of > 0 ? percent(static_cast<double>(part) / static_cast<double>(of)) : "-";
--- a/lab/storm/format.h
+++ b/lab/stats/format.h
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <string>
 
-namespace fernward::lab::storm {
+namespace fernward::lab {
 
 __attribute__((format(printf, 1, 2))) inline std::string format(const char* pattern, ...) {
   char text[512];
@@ -16,4 +16,4 @@
   return text;
 }
 
-} // namespace fernward::lab::storm
+} // namespace fernward::lab
--- a/lab/storm/beside.cpp
+++ b/lab/storm/beside.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "lab/storm/format.h"
+#include "lab/stats/format.h"
 #include "lab/storm/lines.h"
 
 namespace fernward::lab::storm {
--- a/lab/storm/draw.cpp
+++ b/lab/storm/draw.cpp
@@ -280,6 +280,14 @@
     spec_.events.push_back({std::round(at), label, std::move(what)});
   }
 
+  // Up to `most` of those that nothing replaces yet.
+  template <typename Event>
+  void begin_anew(double at, Event what, double most, double lasts) {
+    what.who.nodes = part_of_free(between(0.05, most));
+    what.after_ms = std::min(lasts, 4000.0);
+    if (!what.who.nodes.empty()) add(at, what);
+  }
+
   void fault(Kind kind, double at, double until) {
     at = std::round(at);
     until = std::round(until);
@@ -318,21 +326,9 @@
         return add(at, n);
       }
       case Kind::SilentNodes: return add(at, SilentNodes{some_nodes(), until});
-      case Kind::
-          ColdNodes: { // of those that nothing replaces, as a machine that was replaced does not come back
-        RestartNodes r;
-        r.who.nodes = part_of_free(between(0.05, 0.6));
-        r.after_ms = std::min(lasts, 4000.0);
-        if (!r.who.nodes.empty()) add(at, r);
-        return;
-      }
-      case Kind::ReplacedNodes: {
-        ReplaceNodes r;
-        r.who.nodes = part_of_free(between(0.05, 0.3));
-        r.after_ms = std::min(lasts, 4000.0);
-        if (!r.who.nodes.empty()) add(at, r);
-        return;
-      }
+      // Of those that nothing replaces, as a machine that was replaced does not come back.
+      case Kind::ColdNodes: return begin_anew(at, RestartNodes{}, 0.6, lasts);
+      case Kind::ReplacedNodes: return begin_anew(at, ReplaceNodes{}, 0.3, lasts);
       case Kind::DrainedNodes: {
         DrainNodes d;
         d.who.nodes = part_of_free(between(0.05, 0.35));
--- a/lab/storm/oracles.cpp
+++ b/lab/storm/oracles.cpp
@@ -7,8 +7,8 @@
 #include <limits>
 #include <set>
 
+#include "lab/stats/format.h"
 #include "lab/storm/draw.h"
-#include "lab/storm/format.h"
 
 namespace fernward::lab::storm {
 
--- a/lab/storm/page.cpp
+++ b/lab/storm/page.cpp
@@ -7,7 +7,7 @@
 #include <stdexcept>
 
 #include "lab/scenario/read.h"
-#include "lab/storm/format.h"
+#include "lab/stats/format.h"
 
 namespace fernward::lab::storm {
 namespace {
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -35,8 +35,7 @@
 constexpr double kLead = 0.2;                      // of the way to its part that a limit goes at each call
 constexpr double kReachedAgain = 0.7; // of the limit before the first connection that did not come up
 constexpr double kLatelyMs = 500, kLatelyGone = 800; // half-life of own answers that are told, and their end
-constexpr double kPoolGone =
-    2000; // after so long without the others' response time a limit learns alone again
+constexpr double kPoolGone = 2000; // without the others' response time for so long a limit learns alone again
 // The words are old: followed at once in both directions, all paces swing together. So a pace is given up within the
 // time that they lag behind, and taken back over several such times.
 constexpr double kPoolRise = 1, kPoolFall = 6;
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -50,8 +50,7 @@
   // The response time as the routers saw it together, `age_ms` ago on average; 0: not known. A limit below one brings
   // an answer in many response times: its pace, and whether it falls or grows, then go by this and not by own answers.
   void pooled(double now, double answer_ms, double age_ms);
-  double lately_ms(
-      double now) const; // mean response time of the last second or two, to be told; 0: none seen
+  double lately_ms(double now) const; // own response time of late, to be told; 0: no answer for 0.8 s
 
   double limit() const { return limit_; }         // attempts at once; below one it is a pace
   double recent_ms() const { return recent_ms_; } // response time lately; 0: none seen
@@ -83,13 +82,14 @@
   double late_ = 0, pressed_ = 0, good_used_ = 0, test_ms_ = 4000, hold_ = 1;
   double good_ = 0;
   double sent_at_ = kNever, tokens_ = 0, gap_ms_ = 0;
-  double cut_at_ = kNever, settled_at_ = kNever,
-         later_ = kNever; // later_: when the latest attempt that was answered had been sent
-  double reached_ =
-      0; // limit before the first connection of several that did not come up; 0: none since an answer
-  double lately_sum_ = 0, lately_seen_ = 0, lately_at_ = kNever, aim_ms_ = 0;
-  double pooled_at_ = kNever, led_at_ = kNever;
-  double silent_ = 0; // attempts in a row that ended without a word
+  double cut_at_ = kNever, settled_at_ = kNever;
+  double later_ = kNever; // when the latest attempt that was answered had been sent
+  // Limit before the first of several connections that did not come up; 0: none since an answer.
+  double reached_ = 0;
+  double lately_sum_ = 0, lately_seen_ = 0, lately_at_ = kNever; // answers lately, the younger the more
+  double aim_ms_ = 0;                                            // of the last answer that had one
+  double pooled_at_ = kNever, led_at_ = kNever; // the others' last response time, their last word
+  double silent_ = 0;                           // attempts in a row that ended without a word
 };
 
 } // namespace fernward::limits
--- a/src/shared/facts.h
+++ b/src/shared/facts.h
@@ -32,7 +32,7 @@
 enum class What : std::uint8_t {
   Demand, // attempts that this router wants at the ledger at once, waiting ones included
   Limit,  // attempts at once that its limiter holds the ledger's share for it to be
-  Answer, // response time of the ledger there in the last second or two, ms; 0: no answer
+  Answer, // response time of the ledger there of late, ms; 0: no answer for 0.8 s
   Count
 };
 constexpr std::size_t kFacts = static_cast<std::size_t>(What::Count);
