Answers that pass are no longer cut off where the system refuses splice

At fault: Pipe::move (src/loop/buffer.cpp) took every errno of splice but EAGAIN and EINTR for the end of the node's connection. It now says that the system refuses, the pipe is closed, and this answer and all later ones are read and written. Ruled out: the client's pace (nothing was stopped), the wait for a whole answer, the silence limit.

Test: the real program under a filter that refuses splice with EINVAL, ENOSYS and EPERM; the program before the mend fails it.

--- a/src/ingress/listener.cpp
+++ b/src/ingress/listener.cpp
@@ -585,7 +585,7 @@
     return false;
   if (!pipe_.usable() || loop::pending_output(c->io.get()) > 0) return false;
   std::string_view rest;
-  received = pipe_.move(socket, c->io.get(), most, block, bytes, rest);
+  if (!pipe_.move(socket, c->io.get(), most, block, received, bytes, rest)) return false;
   if (received != loop::Received::Bytes) return true;
   c->passed += bytes;
   if (!rest.empty()) c->out.take(loop::write_or_wait(c->io.get(), "", rest, "", block));
--- a/src/loop/buffer.cpp
+++ b/src/loop/buffer.cpp
@@ -112,18 +112,27 @@
   if (pipe2(ends_, O_NONBLOCK | O_CLOEXEC) != 0) ends_[0] = ends_[1] = -1;
 }
 
-Pipe::~Pipe() {
+Pipe::~Pipe() { close(); }
+
+void Pipe::close() {
   if (!usable()) return;
-  close(ends_[0]);
-  close(ends_[1]);
+  for (int& end : ends_) ::close(std::exchange(end, -1));
 }
 
-Received Pipe::move(int from, bufferevent* to, std::size_t most, Block& block, std::size_t& bytes,
-                    std::string_view& rest) {
+bool Pipe::move(int from, bufferevent* to, std::size_t most, Block& block, Received& received,
+                std::size_t& bytes, std::string_view& rest) {
   const auto n =
       splice(from, nullptr, ends_[1], nullptr, std::min(most, kBlock), SPLICE_F_MOVE | SPLICE_F_NONBLOCK);
-  if (n == 0) return Received::Ended;
-  if (n < 0) return errno == EAGAIN || errno == EINTR ? Received::Nothing : Received::Broken;
+  if (n < 0 && (errno == EINVAL || errno == ENOSYS || errno == EPERM)) {
+    // That says nothing of the connection: taken for its end, it would cut off an answer that is still coming.
+    close();
+    return false;
+  }
+  received = n > 0                               ? Received::Bytes
+             : n == 0                            ? Received::Ended
+             : errno == EAGAIN || errno == EINTR ? Received::Nothing
+                                                 : Received::Broken;
+  if (n <= 0) return true;
   bytes = static_cast<std::size_t>(n);
   std::size_t out = 0;
   if (evbuffer_get_length(bufferevent_get_output(to)) == 0) {
@@ -132,7 +141,7 @@
     out = sent > 0 ? static_cast<std::size_t>(sent) : 0; // an error shows when the rest is written
   }
   rest = {};
-  if (out == bytes) return Received::Bytes;
+  if (out == bytes) return true;
   char* const into = block.data();
   std::size_t got = 0;
   while (got < bytes - out) {
@@ -141,7 +150,7 @@
     got += static_cast<std::size_t>(part);
   }
   rest = {into, got};
-  return Received::Bytes;
+  return true;
 }
 
 namespace {
--- a/src/loop/buffer.h
+++ b/src/loop/buffer.h
@@ -72,14 +72,17 @@
   ~Pipe();
   Pipe(const Pipe&) = delete;
   Pipe& operator=(const Pipe&) = delete;
-  bool usable() const { return ends_[0] >= 0; } // no: the system had no descriptors for it
+  // No: the system had no descriptors for it, or moves no bytes this way.
+  bool usable() const { return ends_[0] >= 0; }
 
   // Moves up to `most` bytes, a block's size at most, to a bufferevent's socket; `rest` is what that does not take,
-  // read into the block; it and what went out make up `bytes`.
-  Received move(int from, bufferevent* to, std::size_t most, Block& block, std::size_t& bytes,
-                std::string_view& rest);
+  // read into the block; it and what went out make up `bytes`. False: the system refuses to, by a filter on calls or
+  // for a kind of socket; nothing was read, and the pipe is not usable from then on.
+  bool move(int from, bufferevent* to, std::size_t most, Block& block, Received& received, std::size_t& bytes,
+            std::string_view& rest);
 
  private:
+  void close();
   int ends_[2] = {-1, -1};
 };
 
--- a/tests/net/program.h
+++ b/tests/net/program.h
@@ -3,7 +3,10 @@
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <linux/filter.h>
+#include <linux/seccomp.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -18,11 +21,30 @@
 
 namespace fernward::tests {
 
+// System calls that a program is refused, as in a container whose filter does not know them.
+struct Refused {
+  std::vector<long> calls;
+  int error = 0;
+};
+
+// For this process and what it executes; needs no rights.
+inline bool refuse_calls(const Refused& refused) {
+  std::vector<sock_filter> filter = {BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(seccomp_data, nr))};
+  for (const long call : refused.calls) {
+    filter.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, static_cast<unsigned>(call), 0, 1));
+    filter.push_back(BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ERRNO | static_cast<unsigned>(refused.error)));
+  }
+  filter.push_back(BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW));
+  const sock_fprog program{static_cast<unsigned short>(filter.size()), filter.data()};
+  return prctl(PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) == 0 &&
+         prctl(PR_SET_SECCOMP, SECCOMP_MODE_FILTER, &program) == 0;
+}
+
 // A started program and what it has written to standard output and error.
 class Program {
  public:
   Program(const std::vector<std::string>& words, const Json& config,
-          const std::vector<std::string>& environment = {}) {
+          const std::vector<std::string>& environment = {}, const Refused& refused = {}) {
     int ends[2];
     REQUIRE(pipe(ends) == 0);
     char path[] = "/tmp/fernward-test-XXXXXX";
@@ -41,6 +63,7 @@
       std::vector<char*> arguments = {const_cast<char*>(FERNWARD_PROGRAM)};
       for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
       arguments.push_back(nullptr);
+      if (!refused.calls.empty() && !refuse_calls(refused)) _exit(126);
       execv(FERNWARD_PROGRAM, arguments.data());
       _exit(127);
     }
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -1,8 +1,10 @@
 // The program as it is started in service: its command line, its configuration, its signals, its limits.
 #include <doctest/doctest.h>
 #include <signal.h>
+#include <sys/syscall.h>
 
 #include <algorithm>
+#include <cerrno>
 
 #include "peers.h"
 #include "program.h"
@@ -297,6 +299,35 @@
   CHECK(program.code == 0);
 }
 
+// guards: a refused call taken for the end of the node's connection: the answer was cut off while its node still gave
+TEST_CASE("a system that refuses to splice: an answer that passes comes whole all the same") {
+  const std::string value(3 << 20, 'v');
+  const std::size_t first = 1 << 20;
+  for (const int error : {EINVAL, ENOSYS, EPERM}) {
+    CAPTURE(error);
+    Service s;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(value.size()) + "\r\n\r\n";
+    s.cache.script = [&](const http::Message&) { return head + value.substr(0, first); };
+    Program program({"serve"}, s.config(), {}, {{SYS_splice, SYS_sendfile, SYS_tee}, error});
+    Client client(s.base.get(), s.port(program));
+    for (const char* id : {"r1", "r2"}) { // the one that finds out, and one after it
+      client.send(get("/k/1", id));
+      // Its client has taken all: what comes next finds nothing before it and goes from socket to socket.
+      REQUIRE(s.until([&] { return client.come() == first; }));
+      s.cache.say(value.substr(first));
+      const std::size_t before = client.answers.size();
+      REQUIRE(s.until([&] { return client.answers.size() > before || client.closed; }));
+      REQUIRE(client.answers.size() == before + 1);
+      CHECK((client.answers.back().body == value));
+      CHECK_FALSE(client.closed);
+    }
+    program.signal(SIGTERM);
+    REQUIRE(s.until([&] { return program.ended(); }));
+    CHECK(program.code == 0);
+  }
+}
+
 // guards: a router that stops with whoever reads its log
 TEST_CASE("a log that nobody reads holds up no request") {
   Service s;
