--- a/src/routes/watch.h
+++ b/src/routes/watch.h
@@ -31,7 +31,9 @@
   void read();
   void event(short what);
   void answered(const http::Message& answer);
+  void end(const char* code);
   void fail(const char* code);
+  void give_up(const char* code);
   void wait(double ms, std::function<void()> what);
 
   event_base* base_;
