Crossings at the client's side: its end is seen in time, and a full input spins no more

By forced tests on sockets: - A client with 16 KiB and more behind a request that waits kept the loop turning for nothing (493 of 500 ms CPU): libevent tells of an input at its high watermark again after each callback that leaves it there (Listener::read). Reading pauses now. - While reading pauses, by that or by a body without room, the client's end was not seen: it is looked for every 50 ms. - What is true of an attempt was asked as it was decided, not as its first byte was written (Pool::came_up): a keyed booking was written past its window, a request whose client had left was sent on. One function says so now (Driver::may_write): the request waits, its client is there, time is left, class, window and body allow it. The client is asked of the socket (peer_ended), as its end may be unread, for first and further attempts. - A request that had been read, or had come, as its connection's idle or first time was over, was dropped. It is worked on. - Idle, silent and stopped connections are shut for sending first; what comes is read and dropped until the client ends, for half a second at most. A close over unread bytes resets the connection, and may take an answer along. - As the listening socket closes with descriptors short, who waits in its queue is accepted in place of who rests. TCP_NODELAY also on the second address.

--- a/src/control/port.cpp
+++ b/src/control/port.cpp
@@ -118,6 +118,7 @@
   c.self = handle;
   c.order = ++came_;
   c.io = loop::make_bufferevent(base_, fd);
+  loop::set_nodelay(fd);
   if (event_base_get_npriorities(base_) > 1) bufferevent_priority_set(c.io.get(), 0);
   bufferevent_setcb(c.io.get(), &Port::readable, &Port::written, &Port::changed, &c);
   bufferevent_setwatermark(c.io.get(), EV_READ, 0, options_.longest + 1);
--- a/src/egress/pool.cpp
+++ b/src/egress/pool.cpp
@@ -326,7 +326,7 @@
 }
 
 void Pool::came_up(Connection& c) {
-  if (const Handle late = c.attempt; late != 0 && !attempts_.wanted(late)) {
+  if (const Handle late = c.attempt; late != 0 && !attempts_.may_write(late)) {
     cancel(late); // while it was not up: nothing of it goes out, and the connection rests
     exchange::Ending ending;
     ending.result = Result::Moot;
--- a/src/exchange/call.h
+++ b/src/exchange/call.h
@@ -75,6 +75,9 @@
  public:
   virtual ~ClientSide() = default;
   virtual void answer(Handle client, Answer answer) = 0;
+  // Has it neither left nor ended its sending, as far as this machine has been told? The loop may not have seen that
+  // yet: it can stand behind bytes that are unread, or have come in the same moment as the request.
+  virtual bool present(Handle client) = 0;
 
   // An answer that passes through: begun once, passed on piece by piece, then ended.
   virtual bool begin(Handle client, Opening opening) = 0; // false: nobody is there to take it
@@ -110,9 +113,9 @@
   virtual void ended(Handle attempt, Ending ending) = 0;
   // An answer waits until it is whole, but not beyond this time; see bodies/answer.h.
   virtual double wait_until(Handle attempt) = 0;
-  // Does its request still wait? Else nothing is written for it that has not begun: its final answer may say that it never
-  // ran.
-  virtual bool wanted(Handle attempt) = 0;
+  // May its first byte be written now? Its connection may have come up long after the attempt was decided: the request
+  // may have had its final answer, its client have left, its time or its key's window be over.
+  virtual bool may_write(Handle attempt) = 0;
   // As of ClientSide, for the client that the attempt is made for. False: the answer is not wanted any more.
   virtual bool begin(Handle attempt, Opening opening) = 0;
   virtual std::size_t room(Handle attempt) = 0;
--- a/src/exchange/driver.cpp
+++ b/src/exchange/driver.cpp
@@ -93,10 +93,11 @@
   return x == nullptr ? 0 : bodies::wait_until(a->sent_at, x->aim_at);
 }
 
-bool Driver::wanted(Handle attempt) {
+bool Driver::may_write(Handle attempt) {
   const Attempt* a = attempts_.find(attempt);
   const Exchange* x = a == nullptr ? nullptr : exchanges_.find(a->exchange);
-  return x != nullptr && !x->over;
+  const double now = loop::now_ms();
+  return x != nullptr && now < a->deadline && clients_->present(x->client) && may_send(*x, now, true);
 }
 
 bool Driver::begin(Handle attempt, Opening opening) {
@@ -244,9 +245,13 @@
   const double deadline = send.timeout_ms == 0 ? x->deadline : std::min(x->deadline, now + send.timeout_ms);
   Handle handle = 0;
   Result result = Result::Moot;
-  const bool open =
-      !x->over && x->passing == 0 && number < settings_.attempts_of(x->call->category) && now < deadline;
-  if (open && may_send(*x, now)) handle = attempts_.add();
+  if (!x->over && !clients_->present(x->client)) { // told here before its connection's end is read
+    x->attempts.push_back(0);
+    client_gone(send.id);
+    return outcome(send.id, number, send.server, 0, result);
+  }
+  const bool open = number < settings_.attempts_of(x->call->category) && now < deadline;
+  if (open && may_send(*x, now, false)) handle = attempts_.add();
   ++x->out;
   x->attempts.push_back(handle);
   if (handle != 0) {
@@ -270,13 +275,13 @@
   outcome(send.id, number, send.server, 0, result);
 }
 
-// The last word on a resend: the class and what is left of the body. The module knows the class and asks for none
-// past it.
-bool Driver::may_send(const Exchange& x, double now) const {
-  if (x.call->category >= settings_.classes.size()) return false;
+// The last word on an attempt, as it is decided and again as its first byte is written: its request waits, and the class
+// and what is left of the body allow it. The module knows the class and asks for none past it.
+bool Driver::may_send(const Exchange& x, double now, bool begun) const {
+  if (x.over || x.passing != 0 || x.call->category >= settings_.classes.size()) return false;
   const fernward::ClassSettings& rules = settings_.classes[x.call->category];
   const bodies::Allows body = x.call->inflow == nullptr ? bodies::Allows() : x.call->inflow->allows();
-  const bodies::Past past{x.tried, x.out > 0, x.may_have_run, now - x.first_at};
+  const bodies::Past past{x.tried - begun, x.out > std::size_t{begun}, x.may_have_run, now - x.first_at};
   const bool may = bodies::may_send(body, rules.repeat, rules.window_ms, past);
   if (!may && body.again) log::line("resend-held-back", {{"id", x.call->id}, {"attempts", x.tried}});
   return may;
--- a/src/exchange/driver.h
+++ b/src/exchange/driver.h
@@ -45,7 +45,7 @@
 
   void ended(Handle attempt, Ending ending) override;
   double wait_until(Handle attempt) override;
-  bool wanted(Handle attempt) override;
+  bool may_write(Handle attempt) override;
   bool begin(Handle attempt, Opening opening) override;
   std::size_t room(Handle attempt) override;
   void pass(Handle attempt, std::string_view bytes, loop::Block& block) override;
@@ -89,7 +89,8 @@
   void stop(Handle attempt, fernward::Result result);
   void end_attempt(Handle attempt, Ending ending);
   bool is_passing(const Exchange& x, std::size_t number) const;
-  bool may_send(const Exchange& x, double now) const;
+  // begun: this attempt is one of those tried and out already.
+  bool may_send(const Exchange& x, double now, bool begun) const;
   void wait_for(Attempt& a, Handle attempt, double deadline);
   Handle client_of(Handle attempt);
   void go_on(Handle exchange);
--- a/src/ingress/listener.cpp
+++ b/src/ingress/listener.cpp
@@ -26,8 +26,10 @@
 constexpr std::size_t kMostInput = 16 * 1024;    // read ahead of the request that is worked on
 constexpr std::size_t kMostDrained = 256 * 1024; // taken from a client whose request was turned away
 constexpr unsigned kMostPipelined = 2;           // requests in a row that came before the last one's answer
-constexpr double kWatchPlacesMs = 250;           // while places are short, without an answer that asks
-constexpr int kMostRelieved = 4;                 // connections closed at once for want of places
+constexpr double kLookMs = 50;         // an attempt begun 0.1 s after its client left is one too many
+constexpr double kCrossingMs = 10;     // for what has come, or been read, to be worked on by the loop
+constexpr double kWatchPlacesMs = 250; // while places are short, without an answer that asks
+constexpr int kMostRelieved = 4;       // connections closed at once for want of places
 constexpr int kBacklog = 512;
 constexpr ev_ssize_t kMostWritten = 256 * 1024; // in one go
 
@@ -267,7 +269,11 @@
   }
   if (c.inflow != nullptr) return read_body(c);
   // The next request waits its turn, and until the answer before it is out: else answers could pile up here.
-  if (c.state != Connection::State::Reading || input.empty() || loop::pending_output(c.io.get()) > 0) return;
+  if (c.state != Connection::State::Reading || input.empty() || loop::pending_output(c.io.get()) > 0) {
+    // Left as it is, libevent would tell of a full input again and again: a whole core for each such client.
+    if (input.size() >= kMostInput) pause_reading(c);
+    return;
+  }
   const bool fresh = !c.parser.begun();
   loop::consume_input(c.io.get(), c.parser.feed(input));
   switch (c.parser.fault()) {
@@ -296,6 +302,29 @@
   go_ahead(c);
 }
 
+// Until there is room again: then the caller reads on, see read_on().
+void Listener::pause_reading(Connection& c) {
+  bufferevent_disable(c.io.get(), EV_READ);
+  if (c.look == 0) look_for_end(c);
+}
+
+void Listener::read_on(Connection& c) {
+  if ((bufferevent_get_enabled(c.io.get()) & EV_READ) == 0) bufferevent_enable(c.io.get(), EV_READ);
+}
+
+// Nothing tells of the end of a client whose bytes are not read: its end stands behind them, and a reset too would be
+// found by a read only.
+void Listener::look_for_end(Connection& c) {
+  c.look = deadlines_.at(now_ms() + kLookMs, [this, handle = c.self] {
+    Connection* paused = connections_.find(handle);
+    if (paused == nullptr) return;
+    paused->look = 0;
+    if ((bufferevent_get_enabled(paused->io.get()) & EV_READ) != 0) return;
+    if (loop::peer_ended(bufferevent_getfd(paused->io.get()))) return event(*paused, BEV_EVENT_EOF);
+    look_for_end(*paused);
+  });
+}
+
 // Who waits to be told before sending a body is told.
 void Listener::go_ahead(Connection& c) {
   if (!c.parser.wants_body() || c.continued) return;
@@ -394,7 +423,7 @@
   c.inflow->on_room([this, handle = c.self] {
     Connection* again = connections_.find(handle);
     if (again == nullptr || again->inflow == nullptr) return;
-    bufferevent_enable(again->io.get(), EV_READ);
+    read_on(*again);
     bufferevent_trigger(again->io.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS | BEV_TRIG_IGNORE_WATERMARKS);
   });
   c.call = std::move(decoded.call);
@@ -417,7 +446,7 @@
     if (input.empty()) break;
     const std::size_t room = c.inflow->room();
     if (room == 0) { // the target takes it slowly
-      bufferevent_disable(c.io.get(), EV_READ);
+      pause_reading(c);
       break;
     }
     const http::Framer::Piece piece = body.next(input.substr(0, room));
@@ -485,6 +514,11 @@
   return !(clients_.ends(now_ms(), c.self) && loop::pending_input(c.io.get()).empty());
 }
 
+bool Listener::present(Handle client) {
+  const Connection* c = connections_.find(client);
+  return c != nullptr && !c->peer_closed && !loop::peer_ended(bufferevent_getfd(c->io.get()));
+}
+
 void Listener::answer(Handle client, exchange::Answer answer) {
   Connection* c = connections_.find(client);
   if (c == nullptr || c->state != Connection::State::Waiting) return;
@@ -515,6 +549,7 @@
   c.left = loop::pending_output(c.io.get());
   c.pipelined = loop::pending_input(c.io.get()).empty() ? 0 : c.pipelined + 1;
   c.request.set(0);
+  read_on(c);
   bufferevent_setwatermark(c.io.get(), EV_WRITE, 0, 0);
   // Where it is out already, libevent will not tell so; and the caller still uses this connection.
   if (loop::pending_output(c.io.get()) == 0)
@@ -656,16 +691,25 @@
   }
   if (loop::pending_output(c.io.get()) > 0) return;
   if (c.state == Connection::State::Reading && !c.parser.begun()) {
+    read_on(c);
     if (pass_ && pass_on(c)) return;
     clients_.rests(now_ms(), c.self);
     return read(c); // what the client has sent meanwhile
   }
   if (c.state != Connection::State::Closing) return;
   if (c.peer_closed) return close(c, c.code);
+  linger(c, c.code);
+}
+
+// The end of a connection on which nothing more is to be said. What comes from now on is read and dropped until the
+// client ends it too: closed over unread bytes, a request that crosses the end would become a reset, which may take
+// with it what the client has not read yet. Only a place that is needed at once is taken without this, see let_go().
+void Listener::linger(Connection& c, const char* code) {
   c.state = Connection::State::Lingering;
+  c.code = code;
   clients_.lingers(now_ms(), c.self);
   shutdown(bufferevent_getfd(c.io.get()), SHUT_WR);
-  limit(c, options_.linger_ms, c.code);
+  limit(c, options_.linger_ms, code);
 }
 
 void Listener::event(Connection& c, short what) {
@@ -703,7 +747,8 @@
       if (late->head_at > 0 && now_ms() < due) return limit(*late, due - now_ms(), code);
       return reply(*late, encode_fault(408, "too slow"), false, "request-timeout");
     }
-    close(*late, code);
+    if (late->state != Connection::State::Reading) return close(*late, code);
+    spareable(handle) ? linger(*late, code) : limit(*late, kCrossingMs, code);
   });
 }
 
@@ -718,14 +763,16 @@
       return takes(*late) ? limit_rest(*late, now_ms() + options_.write_ms / 4) : close(*late, "stalled");
     }
     const double idle_at = late->answered_at + options_.idle_ms;
-    if (now_ms() >= idle_at) return close(*late, "idle");
-    limit_rest(*late, idle_at);
+    if (now_ms() < idle_at) return limit_rest(*late, idle_at);
+    // A request that has come in this very moment is worked on before its connection ends.
+    spareable(handle) ? linger(*late, "idle") : limit_rest(*late, now_ms() + kCrossingMs);
   });
 }
 
 void Listener::close(Connection& c, const char* code) {
   log::routine("ingress-ended", {{"code", code}, {"requests", c.requests}, {"ms", now_ms() - c.opened_at}});
   deadlines_.cancel(c.ticket);
+  deadlines_.cancel(c.look);
   // A client that leaves, or asked for the end, makes room of itself.
   const bool left = c.peer_closed || !c.keep_alive;
   clients_.gone(now_ms(), c.self, left ? budget::Clients::Gone::Left : budget::Clients::Gone::Closed);
@@ -806,7 +853,14 @@
   if (listener_ == nullptr) return;
   // What the kernel has taken for this router is taken: closing the socket would reset it.
   const int listening = evconnlistener_get_fd(listener_.get());
-  for (int fd; (fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) accept(fd);
+  for (;;) {
+    const int fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      accept(fd);
+    } else if ((errno != EMFILE && errno != ENFILE) || !let_go("table-full")) {
+      break; // with descriptors short, who rests gives way as before
+    }
+  }
   deadlines_.cancel(resume_);
   deadlines_.cancel(watch_);
   listener_.reset();
@@ -822,7 +876,7 @@
     if (c.state != Connection::State::Reading || c.parser.begun() || loop::pending_output(c.io.get()) > 0)
       return;
     const bool quiet = loop::peek(bufferevent_getfd(c.io.get())) != loop::Peek::Data;
-    if (quiet && loop::pending_input(c.io.get()).empty()) close(c, "stopping");
+    if (quiet && loop::pending_input(c.io.get()).empty()) linger(c, "stopping");
   });
   if (connections_.size() == 0) calls_.emptied();
 }
--- a/src/ingress/listener.h
+++ b/src/ingress/listener.h
@@ -61,6 +61,7 @@
   void change(Rules rules); // what comes from now on is held against these; no class has gone
 
   void answer(loop::Handle client, exchange::Answer answer) override;
+  bool present(loop::Handle client) override;
   bool begin(loop::Handle client, exchange::Opening opening) override;
   std::size_t room(loop::Handle client) override;
   void pass(loop::Handle client, std::string_view bytes, loop::Block& block) override;
@@ -117,6 +118,7 @@
     std::size_t drained = 0;              // bytes thrown away since the last answer
     double opened_at = 0, answered_at = 0;
     loop::Deadlines::Ticket ticket = 0;
+    loop::Deadlines::Ticket look = 0; // for the client's end, while nothing is read
     const char* code = "";
   };
   struct ListenerFree {
@@ -136,6 +138,9 @@
   void relieve();
   void watch_places();
   void read(Connection& c);
+  void pause_reading(Connection& c);
+  void read_on(Connection& c);
+  void look_for_end(Connection& c);
   void listen();
   Decoded decode(http::Message request);
   bool admit(Connection& c, Decoded& decoded, bool whole); // false: it has been turned away
@@ -158,6 +163,7 @@
   void event(Connection& c, short what);
   void limit(Connection& c, double ms, const char* code);
   void limit_rest(Connection& c, double when);
+  void linger(Connection& c, const char* code);
   void close(Connection& c, const char* code);
   void pause(double ms);
   void resume();
--- a/src/loop/net.cpp
+++ b/src/loop/net.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -40,6 +41,13 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) ? Peek::Quiet : Peek::Closed;
 }
 
+bool peer_ended(int fd) {
+  const Peek next = peek(fd);
+  if (next != Peek::Data) return next == Peek::Closed;
+  pollfd behind{fd, POLLRDHUP, 0};
+  return poll(&behind, 1, 0) > 0 && (behind.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 BuffereventPtr make_bufferevent(event_base* base, int fd) {
   BuffereventPtr b(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   if (b == nullptr) throw std::bad_alloc();
--- a/src/loop/net.h
+++ b/src/loop/net.h
@@ -22,6 +22,8 @@
 
 enum class Peek { Quiet, Data, Closed };
 Peek peek(int fd); // what a read of the socket would find
+// The peer has ended its sending or broken off, also where bytes that came before that are still unread.
+bool peer_ended(int fd);
 
 // A bufferevent whose callbacks come from the event loop only. Never null: throws std::bad_alloc.
 BuffereventPtr make_bufferevent(event_base* base, int fd);
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -199,6 +199,36 @@
   CHECK(w.router->driver().open_attempts() == 0);
 }
 
+// Found on a day of few routers: one whose loop had stood still read a request, sent it on, and only then read that its
+// client had gone, 0.3 s before.
+TEST_CASE("a client that has left by the time its request is read: nothing is sent on for it") {
+  World w;
+  const std::string far_behind = get("/k/2", "r2", "X-Pad: " + std::string(15000, 'p') + "\r\n");
+  const auto leave = [&](const std::string& bytes, bool reset) { // all of it before the router's loop turns
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    where.sin_port = htons(static_cast<std::uint16_t>(w.router->port()));
+    REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&where), sizeof where) == 0);
+    REQUIRE(write(fd, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
+    if (reset) loop::reset_on_close(fd);
+    close(fd);
+  };
+  SUBCASE("its end came with the request") { leave(get("/k/1", "r1"), false); }
+  SUBCASE("a reset") { leave(get("/k/1", "r1"), true); }
+  SUBCASE("its end stands behind more than is read ahead") {
+    leave(get("/k/1", "r1") + far_behind + far_behind + far_behind, false);
+  }
+  SUBCASE("its end came with a write") { leave(put("/k/1", "r1", "value"), false); }
+  Client after = w.client();
+  for (int i = 0; i < 3; ++i) { // what came before these has been worked on
+    CHECK(after.ask("GET /ready HTTP/1.1\r\n\r\n").status == 200);
+  }
+  CHECK(w.sent() == 0);
+  CHECK(after.ask(get("/k/3", "r3")).status == 200); // and nobody else is held up by it
+}
+
 TEST_CASE("two requests in one write are answered in their order") {
   World w;
   Client client = w.client();
@@ -438,7 +468,7 @@
     last = std::move(e);
   }
   double wait_until(loop::Handle) override { return 1e15; }
-  bool wanted(loop::Handle) override { return waits; }
+  bool may_write(loop::Handle) override { return waits; }
   bool begin(loop::Handle, exchange::Opening) override { return false; }
   std::size_t room(loop::Handle) override { return 0; }
   void pass(loop::Handle, std::string_view, loop::Block&) override {}
@@ -886,6 +916,7 @@
     "a request that the module passes over is answered as failed at its deadline") { // guards: the first rule
   struct Clients : exchange::ClientSide {
     void answer(loop::Handle, exchange::Answer answer) override { kinds.push_back(answer.kind); }
+    bool present(loop::Handle) override { return true; }
     bool begin(loop::Handle, exchange::Opening) override { return false; }
     std::size_t room(loop::Handle) override { return 0; }
     void pass(loop::Handle, std::string_view, loop::Block&) override {}
