--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -74,6 +74,12 @@
   void say(const std::string& text) { // on the connection of the last request
     if (last_ != nullptr && last_->io != nullptr) send(last_, text);
   }
+  void say_now(
+      const std::string& text) { // it lies in the other side's socket on return, before any loop runs
+    if (last_ == nullptr || last_->io == nullptr) return;
+    [[maybe_unused]] const auto n =
+        ::send(bufferevent_getfd(last_->io.get()), text.data(), text.size(), MSG_NOSIGNAL);
+  }
   enum class End { Fin, Reset, Half }; // half: nothing more is sent, what comes is still read
   void break_off(End how) {            // all connections
     for (const auto& link : links_) {
--- a/tests/net/program.h
+++ b/tests/net/program.h
@@ -56,6 +56,13 @@
   Program(const Program&) = delete;
 
   void signal(int number) { kill(pid_, number); }
+  void hold() { // nothing runs in it on return; what comes for it waits
+    kill(pid_, SIGSTOP);
+    int status = 0;
+    REQUIRE(waitpid(pid_, &status, WUNTRACED) == pid_);
+    REQUIRE(WIFSTOPPED(status));
+  }
+  void go_on() { kill(pid_, SIGCONT); }
   void rewrite(const std::string& config) { std::ofstream(path_) << config; }
   struct Use {
     double cpu_ms = 0, wakes = 0;
