Settings: nonsense that was taken in silence is refused by its key

At fault, all in src/config: settings.cpp read origin_kind into an integer unchecked (-1, 0.5, true, 1e301 and a kind that is not there were taken, and mode aside without it left the router without its origin); my_zone beyond dcs was taken; classes and tenants without a name, or with one that is there twice, were taken (names_of); an empty list of classes was told without its path; read.h took 'obligations: null' for an object with defaults, while its absence is a fault. Left as they are, on purpose: unknown words of repeat, dedup_scope, via, registry_mode and weight_kind, which get the strictest meaning; very long times, which Deadlines::arm() clamps. JSON has no NaN and no infinity: such a file is refused as a whole, in one line.

--- a/src/config/read.h
+++ b/src/config/read.h
@@ -59,7 +59,7 @@
   }
   Part needed_part(const std::string& key) const {
     if (!json.is_object()) throw Error((path.empty() ? "settings" : path) + ": must be an object");
-    if (!json.contains(key)) throw Error(at(key) + ": is missing");
+    if (!json.contains(key) || json.at(key).is_null()) throw Error(at(key) + ": is missing");
     return part(key);
   }
   // The objects of a list that may be missing.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,5 +1,7 @@
 #include "config/settings.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "config/read.h"
@@ -53,15 +55,30 @@
                              ReportField::Other);
 }
 
+// Requests carry these names: without one, or with another's, an entry could not be asked for.
 std::vector<std::string> names_of(const Part& from, const char* key) {
   std::vector<std::string> names;
   for (const Part& entry : from.list(key)) {
-    names.emplace_back();
-    entry.read("name", names.back());
+    std::string name;
+    entry.need("name", name);
+    if (name.empty()) throw Error(entry.at("name") + ": is empty");
+    if (std::find(names.begin(), names.end(), name) != names.end())
+      throw Error(entry.at("name") + ": \"" + name + "\" is there twice");
+    names.push_back(std::move(name));
   }
   return names;
 }
 
+// A number that points into a list of names; where the list is not told, any.
+void check_place(const Part& from, const std::string& key, std::uint32_t place, const Part& lists,
+                 const char* list) {
+  std::vector<std::string> names;
+  lists.read(list, names);
+  if (lists.json.contains(list) && place >= names.size())
+    throw Error(from.at(key) + ": is " + std::to_string(place) + ", but there are " +
+                std::to_string(names.size()) + " " + list);
+}
+
 double positive(const Part& from, const char* key, double otherwise) {
   double value = otherwise;
   from.read(key, value);
@@ -77,9 +94,11 @@
   from.count("balancers", s.nodes, 1);
   if (const auto zone = json.find("my_zone"); zone != json.end() && !zone->is_null()) {
     from.count("my_zone", s.zone.emplace());
+    check_place(from, "my_zone", *s.zone, from, "dcs");
   }
   if (!json.contains("classes")) throw Error("classes: is missing");
   for (const Part& cls : from.list("classes")) s.classes.push_back(parse_class(cls));
+  if (s.classes.empty()) throw Error("classes: there must be one at least");
   for (const Part& party : from.list("parties")) {
     fernward::TenantSettings tenant;
     party.range("share", tenant.share, 1);
@@ -90,7 +109,14 @@
   from.range("tick", s.tick_ms);
 
   const Part extra = from.part("extra");
-  if (extra.word("mode") == "aside") extra.read("origin_kind", s.origin_kind);
+  if (extra.word("mode") == "aside") {
+    std::uint32_t kind = 0;
+    extra.count("origin_kind", kind);
+    if (kind > std::numeric_limits<std::int32_t>::max())
+      throw Error(extra.at("origin_kind") + ": is too large");
+    check_place(extra, "origin_kind", kind, from, "kinds");
+    s.origin_kind = static_cast<std::int32_t>(kind);
+  }
 
   const Part telemetry = from.part("telemetry");
   s.report_via = one_of<fernward::ReportVia>(
