Slow start: a cold node gets a rate, each router's part of what the settings allow it

No setting tells a capacity, so N can't be worked out; a warm node can do what it answers. Each router lets a cold node have multiple x warmth x weight x its hits at a warm node within any window, as a token bucket (src/limits/slow_start.h); parts under one request count for all cold nodes together. obligations.fall_multiple is read; not told: 2. Choices, fills, repeats, copies and followers draw on it. Planted cold-by-router and forgets-starts are still found.

--- a/src/policy/replica.h
+++ b/src/policy/replica.h
@@ -8,6 +8,7 @@
 #include "fernward/choice.h"
 #include "health/health.h"
 #include "limits/gate.h"
+#include "limits/slow_start.h"
 #include "placement/ring.h"
 #include "policy/trend.h"
 #include "requests/report.h"
@@ -32,9 +33,9 @@
   double failing = 0;           // share of its attempts that fail
   double overtaken_at = kNever; // the latest send that was answered
   double probed_at = kNever;
-  limits::Gate gate{1}; // of a cache
-  // slow start
-  double cold_since = kNever;
+  limits::Gate gate{1};       // of a cache
+  double cold_since = kNever; // slow start
+  limits::StartPart part;
   placement::Seat seat; // on the ring
 
   void forget() { // a restarted process shares nothing with the one before but its name and what is still out
