--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -651,6 +651,8 @@
   d.refuse();
   CHECK(d.until([&] { return client.look(), client.answers.size() == 1; }));
   CHECK(d.until([&] { return silent.look(), silent.closed; }));
+  CHECK(d.until(
+      [&] { return d.listener->connections() == 1; })); // told the end, it is waited for no longer than that
 }
 
 // ---- a started program ----
