--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -65,7 +65,7 @@
     if (added || restarted) r.gate = limits::Gate(set.nodes);
     if (is_origin(r) && (added || restarted))
       origin_limit = limits::Limiter::origin(set.nodes), origin_places = {};
-    if (s.booted_at > 0 && s.booted_at > r.cold_since) r.cold_since = s.booted_at, r.part = slow_start.part();
+    if (s.booted_at > 0) r.cold_since = std::max(r.cold_since, s.booted_at);
   }
   arrange();
 }
@@ -123,7 +123,6 @@
   requests_now = 0;
   for (double& rate : tenant_rate) rate *= 0.95;
   shedder.tick();
-  slow_start.tick(replicas, set, [&](auto& r) { return is_origin(r) || r.health.out() ? 0 : warmth(r); });
   if (set.discovery == Discovery::Ask && !subscribed && now >= ask_at) {
     act(Watch{});
     asked = true;
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -34,7 +34,6 @@
   limits::Queue origin_queue;
   std::vector<RequestId> leaving_queue; // scratch
   limits::Allowance allowance;
-  limits::SlowStart slow_start{random.unit(), kTickMs};
   bool pumping = false;
   std::unordered_map<RequestId, Open> open;
   std::vector<RequestId> done; // concluded with nothing out: dropped once the event is handled
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -20,11 +20,12 @@
   return set.start_capacity + (1 - set.start_capacity) * age;
 }
 
-// Guards a fresh cache against being pushed over: its own keys, cut to the capacity that it surely has, by a
-// draw for each request, which follows what comes, and by this node's part of that capacity, which does not.
+// Guards a fresh cache against being pushed over: its own keys, cut to the capacity that it surely has. A
+// draw for each request, not a budget for each node: the sum is the same for three nodes and a thousand.
 bool Balancer::Impl::start_allows(const Replica& r, const Open& o, bool first) const {
-  return !cold(r) || (Random{o.in.id ^ mix(r.entry.id)}.unit() < (first ? 1 : 0.5) * warmth(r) &&
-                      slow_start.allows(r.part));
+  if (!cold(r)) return true;
+  const double draw = Random{o.in.id ^ mix(r.entry.id)}.unit();
+  return draw < (first ? 1 : 0.5) * warmth(r);
 }
 
 bool Balancer::Impl::usable(const Replica& r) const {
@@ -124,7 +125,6 @@
     return false;
   if (r.entry.state != ServerState::Ready || now >= o.end_at) return false;
   r.health.sent();
-  if (cold(r)) slow_start.sent(r.part);
   act(SetTimer{std::max(lateness(r).slow_ms, 2 * set.tick_ms),
                token(Timer::Overdue, o.in.id, o.attempts.size() & 0xff)});
   if (!o.maybe_ran && o.out == 0) { // the group that a keyed request is bound to from now on
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -89,7 +89,6 @@
   switch (e.result) {
     case Result::Ok:
       heard(r);
-      slow_start.hit(cold(r));
       smooth(fleet_ms, elapsed, 0.02);
       cache_late.answered(elapsed);
       r.answered(now, elapsed);
--- a/src/policy/replica.h
+++ b/src/policy/replica.h
@@ -8,7 +8,6 @@
 #include "fernward/choice.h"
 #include "health/health.h"
 #include "limits/gate.h"
-#include "limits/slow_start.h"
 #include "placement/ring.h"
 #include "policy/trend.h"
 #include "requests/report.h"
@@ -33,9 +32,9 @@
   double failing = 0;           // share of its attempts that fail
   double overtaken_at = kNever; // the latest send that was answered
   double probed_at = kNever;
-  limits::Gate gate{1};       // of a cache
-  double cold_since = kNever; // slow start
-  limits::StartPart part;
+  limits::Gate gate{1}; // of a cache
+  // slow start
+  double cold_since = kNever;
   placement::Seat seat; // on the ring
 
   void forget() { // a restarted process shares nothing with the one before but its name and what is still out
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -17,7 +17,7 @@
   "extra": {"mode": "aside", "origin_kind": 2},
   "limits": {"max_attempts": 6, "may_cancel": true, "may_duplicate": true, "may_probe": true,
              "retry_after": true, "max_retry_after": 900.0, "connect_timeout": 200.0},
-  "obligations": {"ask_every": 10000.0, "start_capacity": 0.32, "warm_after": 8100.0, "tip_after": 3000.0, "fall_multiple": 4.0},
+  "obligations": {"ask_every": 10000.0, "start_capacity": 0.32, "warm_after": 8100.0, "tip_after": 3000.0},
   "parties": [{"name": "x", "quota_per_s": 45.0, "share": 0.2}],
   "registry_mode": "ask", "weight_kind": "live",
   "telemetry": {"via": "on_probe", "columns": ["qps", "latency_ms", "queue", "x9"]}})";
@@ -31,7 +31,6 @@
   EXPECT_DOUBLE_EQ(s.tick_ms, 2.5);
   EXPECT_DOUBLE_EQ(s.over_share_worth, 0.2);
   EXPECT_DOUBLE_EQ(s.warm_after_ms, 8100);
-  EXPECT_DOUBLE_EQ(s.fall_multiple, 4);
   EXPECT_DOUBLE_EQ(s.max_retry_after_ms, 900);
   EXPECT_EQ(s.discovery, Discovery::Ask);
   EXPECT_EQ(s.weight_kind, WeightKind::Live);
