Read once more: the drain asks what may be shut by the function that says so

Listener::stop() had the test of spareable() written out again: nothing read and waiting, nothing unread in the socket. No behaviour and no assertion changes.

--- a/src/ingress/listener.cpp
+++ b/src/ingress/listener.cpp
@@ -875,8 +875,7 @@
   connections_.each([this](Handle, Connection& c) {
     if (c.state != Connection::State::Reading || c.parser.begun() || loop::pending_output(c.io.get()) > 0)
       return;
-    const bool quiet = loop::peek(bufferevent_getfd(c.io.get())) != loop::Peek::Data;
-    if (quiet && loop::pending_input(c.io.get()).empty()) linger(c, "stopping");
+    if (spareable(c.self)) linger(c, "stopping");
   });
   if (connections_.size() == 0) calls_.emptied();
 }
