Tests of the watch against a scripted discovery: draft, not run yet

tests/net/discovery_test.cpp starts the program and scripts its discovery call by call (tests/net/scripted_discovery.h): several connections at once, each answered, cut off, closed or reset at the moment that the test chooses. The client by plain system calls moves from crossings_test.cpp to raw_client.h unchanged, for both to use.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -9,70 +9,13 @@
 
 #include "peers.h"
 #include "program.h"
+#include "raw_client.h"
 
 using namespace fernward;
 using namespace fernward::tests;
 
 namespace {
 
-// A client by plain system calls: what it sends and does lies in the router's sockets on return, whether or not a loop runs.
-class Raw {
- public:
-  explicit Raw(int port, const std::string& text = "") : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in where{};
-    where.sin_family = AF_INET;
-    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    where.sin_port = htons(static_cast<std::uint16_t>(port));
-    REQUIRE(::connect(fd_, reinterpret_cast<const sockaddr*>(&where), sizeof where) == 0);
-    loop::set_nodelay(fd_);
-    send(text);
-  }
-  ~Raw() { leave(); }
-  Raw(const Raw&) = delete;
-
-  void send(const std::string& text) { // all of it, or as much as the sockets take
-    for (std::size_t at = 0; at < text.size();) {
-      const auto n = ::send(fd_, text.data() + at, text.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT);
-      if (n <= 0) return;
-      at += static_cast<std::size_t>(n);
-    }
-  }
-  void leave() {
-    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
-  }
-  void reset() {
-    loop::reset_on_close(fd_);
-    leave();
-  }
-  // What has come; the parser holds an answer that is not whole.
-  void look() {
-    char bytes[65536];
-    for (;;) {
-      const auto n = recv(fd_, bytes, sizeof bytes, MSG_DONTWAIT);
-      if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
-      if (n <= 0) {
-        broken = broken || (n < 0 && !closed);
-        closed = true;
-        return;
-      }
-      std::string_view rest(bytes, static_cast<std::size_t>(n));
-      told += rest;
-      while (!rest.empty()) {
-        rest.remove_prefix(parser_.feed(rest));
-        if (!parser_.done()) break;
-        answers.push_back(parser_.take());
-      }
-    }
-  }
-  std::vector<http::Message> answers;
-  std::string told;                    // as it came
-  bool closed = false, broken = false; // broken: by a reset
-
- private:
-  int fd_;
-  http::Parser parser_{http::Kind::Response, kMostBody};
-};
-
 void pass_ms(double ms) { // nothing runs meanwhile
   const double end = loop::now_ms() + ms;
   while (loop::now_ms() < end) usleep(1000);
--- /dev/null
+++ b/tests/net/discovery_test.cpp
@@ -0,0 +1,543 @@
+// What the router hears of discovery while that is slow, silent, broken or wrong: the program itself against a scripted
+// discovery. The order of events is forced: an answer is sent once a further call has come, a stopped process finds all of
+// its sockets full. Times are upper bounds of the rules, measured from the event that they name.
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <set>
+
+#include "peers.h"
+#include "program.h"
+#include "raw_client.h"
+#include "scripted_discovery.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+
+namespace {
+
+constexpr int kFirstIndex = 7;
+constexpr int kDrainIndex = 8;
+constexpr double kHeardMs = 6000;       // for a change, after a call that failed or fell silent
+constexpr double kReloadHeardMs = 4000; // for a change, after SIGHUP named another discovery
+constexpr double kAnswerHeardMs = 1000; // for a sound answer on a call that is open
+constexpr int kLongPollMs = 1000;
+constexpr const char* kInService = "in_service";
+constexpr const char* kDraining = "terminating";
+
+std::size_t count_of(const std::string& what, const std::string& text) {
+  std::size_t count = 0;
+  for (auto at = text.find(what); at != std::string::npos; at = text.find(what, at + 1)) ++count;
+  return count;
+}
+
+// Two servers, one discovery, and the program between them and its clients.
+struct Fleet {
+  explicit Fleet(const std::function<void(Json&)>& change = [](Json&) {}) {
+    config = config_json(discovery.address, servers(kFirstIndex, kInService));
+    config["limits"]["sockets"] = 1024;
+    change(config);
+  }
+
+  Json servers(int index, const std::string& first_state, const std::string& second_state = kInService) {
+    return node_list(
+        index, true,
+        {endpoint("s-1", first.address, first_state), endpoint("s-2", second.address, second_state)});
+  }
+  std::string list(int index, const std::string& first_state, const std::string& second_state = kInService) {
+    return ok(servers(index, first_state, second_state).dump());
+  }
+  std::string drain() { return list(kDrainIndex, kDraining); }
+  static std::string nothing_new(int index) { return ok(node_list(index, false, {}).dump()); }
+
+  // Starts the program and waits for its first call, which stays unanswered.
+  void start() {
+    program = std::make_unique<Program>(std::vector<std::string>{"serve"}, config);
+    REQUIRE(until([&] { return program->port() != 0 && !discovery.calls.empty(); }));
+  }
+
+  // Starts the program, answers its first call and returns the long poll that follows.
+  std::size_t start_watch() {
+    start();
+    discovery.reply(0, list(kFirstIndex, kInService));
+    REQUIRE(hears(discovery, kFirstIndex, loop::now_ms(), kAnswerHeardMs));
+    return discovery.calls.size() - 1;
+  }
+
+  bool until(const std::function<bool()>& done, double within_ms = kHeardMs + 1000) {
+    const double end = loop::now_ms() + within_ms;
+    run_until(base.get(), [&] { return done() || loop::now_ms() >= end; });
+    program->says(""); // reads what it has written
+    return done();
+  }
+
+  // The router watches on from `index`, asked for within `within_ms` of `begun_ms`: what was told with it is in force.
+  bool hears(const ScriptedDiscovery& from, int index, double begun_ms, double within_ms) {
+    const auto watches_on = [&] {
+      return std::any_of(from.calls.begin(), from.calls.end(),
+                         [&](const auto& call) { return call.asks_for_changes_since(index); });
+    };
+    const bool heard = until(watches_on, begun_ms + within_ms - loop::now_ms());
+    INFO(program->text);
+    CHECK_MESSAGE(heard, "index " << index << " not heard within " << within_ms << " ms");
+    return heard;
+  }
+
+  // The drain of the first server was heard in time, and is obeyed.
+  void check_drain(const ScriptedDiscovery& from, double begun_ms, double within_ms) {
+    if (!hears(from, kDrainIndex, begun_ms, within_ms)) return;
+    const std::size_t before = first.seen.size();
+    check_served();
+    CHECK(first.seen.size() == before);
+  }
+
+  // Requests with different keys, one after another: all are answered with a value.
+  void check_served() {
+    constexpr int kRequests = 20;
+    Raw client(program->port());
+    for (int i = 0; i < kRequests; ++i) CHECK(status_of(client) == 200);
+  }
+
+  // Sends one request and waits for its status; 0: none came.
+  int status_of(Raw& client) {
+    const std::string number = std::to_string(++requests);
+    return answer_to(client, get("/k/" + number, "r" + number));
+  }
+  int readiness() {
+    Raw client(program->port());
+    return answer_to(client, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  int answer_to(Raw& client, const std::string& request) {
+    const std::size_t before = client.answers.size();
+    client.send(request);
+    until([&] { return client.look(), client.answers.size() > before || client.closed; });
+    return client.answers.size() > before ? client.answers.back().status : 0;
+  }
+
+  // Names `next` as the discovery, and waits until the program has logged the reload.
+  void reload(const ScriptedDiscovery& next) {
+    const std::size_t before = count_of("reload-discovery-", program->text);
+    config["discovery"] = next.address;
+    program->rewrite(config.dump());
+    program->signal(SIGHUP);
+    REQUIRE(until([&] { return program->says(""), count_of("reload-discovery-", program->text) > before; }));
+  }
+
+  router::BasePtr base = router::make_base();
+  Peer first{base.get(), [](const http::Message& m) { return ok("v of " + m.target); }};
+  Peer second{base.get(), [](const http::Message& m) { return ok("v of " + m.target); }};
+  ScriptedDiscovery discovery{base.get()};
+  Json config;
+  std::unique_ptr<Program> program;
+  int requests = 0;
+};
+
+std::string first_half(const std::string& text) { return text.substr(0, text.size() / 2); }
+std::string second_half(const std::string& text) { return text.substr(text.size() / 2); }
+
+} // namespace
+
+// ---- calls in doubt: a second one beside the first ----
+
+// guards: a list that comes slowly thrown away, over and over
+TEST_CASE("an answer that stops in the middle until a second call is open: its rest is taken") {
+  Fleet f;
+  std::size_t call = 0;
+  SUBCASE("the whole list of a new process") { f.start(); }
+  SUBCASE("a long poll") { call = f.start_watch(); }
+  f.discovery.reply_part(call, first_half(f.drain()));
+  REQUIRE(f.until([&] { return f.discovery.calls.size() == call + 2; }));
+  run_for(f.base.get(), 50); // enough for the loop to hear of a close
+  CHECK(f.discovery.is_open(call));
+  f.discovery.reply(call, second_half(f.drain()));
+  f.check_drain(f.discovery, loop::now_ms(), kAnswerHeardMs);
+  CHECK(f.until([&] { return f.discovery.open_connections() == 1; }, kAnswerHeardMs));
+  CHECK(f.discovery.most_open_connections <= 2);
+}
+
+// guards: failures one after another that add up to more than the time for a change
+TEST_CASE(
+    "a watch falls silent, so does the next call, the one after it is reset: a drain is in force in 6 s") {
+  Fleet f;
+  const std::size_t watch = f.start_watch();
+  const double silent_at = f.discovery.calls[watch].asked_at_ms;
+  f.discovery.on_call = [&](std::size_t call) {
+    if (call == watch + 2) f.discovery.reset(call);
+    if (call > watch + 2 && !f.discovery.calls[call].asks_for_changes_since(kDrainIndex))
+      f.discovery.reply(call, f.drain());
+  };
+  f.check_drain(f.discovery, silent_at, kHeardMs);
+  CHECK(f.discovery.most_open_connections <= 2);
+}
+
+// guards: an answer that comes on and on and never ends, taken for a live call
+TEST_CASE("an answer that comes a byte at a time and never ends: a second call is opened beside it") {
+  Fleet f;
+  const std::size_t watch = f.start_watch();
+  const double begun_at = f.discovery.calls[watch].asked_at_ms;
+  f.discovery.reply_part(watch, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n{");
+  const auto trickle_until = [&](const std::function<bool()>& done, double within_ms) {
+    return f.until([&] { return f.discovery.reply_part(watch, " "), done(); }, within_ms);
+  };
+  REQUIRE(trickle_until([&] { return f.discovery.calls.size() > watch + 1; }, kHeardMs));
+  const double some_turns_end = loop::now_ms() + 50; // enough for the loop to hear of a close
+  trickle_until([&] { return loop::now_ms() >= some_turns_end; }, kHeardMs);
+  CHECK(f.discovery.is_open(watch));
+  f.discovery.reply(watch + 1, f.drain());
+  f.check_drain(f.discovery, begun_at, kHeardMs);
+}
+
+namespace {
+
+// A discovery that answers each call, and tells each change, later than it should.
+class LateDiscovery {
+ public:
+  LateDiscovery(Fleet& fleet, double late_ms) : fleet_(fleet), late_ms_(late_ms) {
+    fleet_.discovery.on_call = [this](std::size_t call) {
+      const bool waits = fleet_.discovery.calls[call].asks_for_changes_since(index_);
+      reply_after(call, waits ? timeout_of(call) + late_ms_ : late_ms_);
+    };
+  }
+  void publish(int index, const std::string& first_state) {
+    index_ = index;
+    first_state_ = first_state;
+    for (std::size_t call = 0; call < fleet_.discovery.calls.size(); ++call) reply_after(call, late_ms_);
+  }
+
+ private:
+  double timeout_of(std::size_t call) const {
+    const std::string& target = fleet_.discovery.calls[call].target;
+    return std::stod(target.substr(target.rfind('=') + 1));
+  }
+  void reply_after(std::size_t call, double ms) {
+    deadlines_.at(loop::now_ms() + ms, [this, call] { reply(call); });
+  }
+  void reply(std::size_t call) {
+    const auto& asked = fleet_.discovery.calls[call];
+    if (asked.answered) return;
+    const bool knows = asked.asks_for_changes_since(index_);
+    fleet_.discovery.reply(call, knows ? Fleet::nothing_new(index_) : fleet_.list(index_, first_state_));
+  }
+
+  Fleet& fleet_;
+  double late_ms_;
+  loop::Deadlines deadlines_{fleet_.base.get()};
+  int index_ = kFirstIndex;
+  std::string first_state_ = kInService;
+};
+
+} // namespace
+
+// guards: calls given up just before their answer comes; connections that pile up at a discovery which is slow already
+TEST_CASE("a discovery that answers each call 0.8 s late: changes are heard, on two connections at most") {
+  Fleet f;
+  LateDiscovery late(f, 800);
+  f.start();
+  REQUIRE(f.hears(f.discovery, kFirstIndex, loop::now_ms(), kHeardMs));
+  for (int index = kDrainIndex; index < kDrainIndex + 3; ++index) {
+    const double changed_at = loop::now_ms();
+    const bool drains = index % 2 == 0;
+    late.publish(index, drains ? kDraining : kInService);
+    if (!f.hears(f.discovery, index, changed_at, kHeardMs)) break;
+    const std::size_t before = f.first.seen.size();
+    f.check_served();
+    CHECK((f.first.seen.size() == before) == drains);
+  }
+  CHECK(f.discovery.most_open_connections <= 2);
+}
+
+// ---- pauses ----
+
+// guards: pauses that grow beyond what a drain may take, while discovery could be reached again
+TEST_CASE("discovery closes 12 connections in a row: it is asked again within 150 ms of the last") {
+  constexpr std::size_t kCloses = 12;
+  constexpr double kAskedAgainMs = 150;
+  Fleet f;
+  const std::size_t watch = f.start_watch();
+  std::size_t closes = 0;
+  double closed_at = 0;
+  f.discovery.on_connection = [&](std::size_t connection) {
+    if (closes == kCloses) return;
+    f.discovery.close_connection(connection);
+    ++closes;
+    closed_at = loop::now_ms();
+  };
+  f.discovery.close(watch);
+  REQUIRE(f.until([&] { return f.discovery.calls.size() > watch + 1; }, 10000));
+  REQUIRE(closes == kCloses);
+  CHECK(f.discovery.calls[watch + 1].asked_at_ms - closed_at < kAskedAgainMs);
+  f.discovery.reply(watch + 1, f.drain());
+  f.check_drain(f.discovery, f.discovery.calls[watch + 1].asked_at_ms, kAnswerHeardMs);
+}
+
+// guards: the same with a discovery that refuses connections
+TEST_CASE(
+    "discovery is not there for a while: it is asked within 150 ms, heard within 250 ms of listening again") {
+  constexpr int kRounds = 14;
+  constexpr double kAskedAgainMs = 150, kHeardAgainMs = 250;
+  Fleet f;
+  ScriptedDiscovery restarted(f.base.get(), free_port());
+  f.config["discovery"] = restarted.address;
+  f.program = std::make_unique<Program>(std::vector<std::string>{"serve"}, f.config);
+  int index = kFirstIndex;
+  double worst_asked_ms = 0, worst_heard_ms = 0;
+  REQUIRE(f.until([&] { return !restarted.calls.empty(); }));
+  for (int round = 0; round < kRounds; ++round) {
+    restarted.reply(restarted.calls.size() - 1, f.list(index, kInService));
+    REQUIRE(f.hears(restarted, index, loop::now_ms(), kAnswerHeardMs));
+    const std::size_t watch = restarted.calls.size() - 1;
+    restarted.stop_listening();
+    restarted.reset(watch);
+    run_for(f.base.get(), 400 + 15 * round); // so that it comes back at all points of a pause
+    restarted.listen();
+    const double listens_at = loop::now_ms();
+    REQUIRE(f.until([&] { return restarted.calls.size() > watch + 1; }));
+    worst_asked_ms = std::max(worst_asked_ms, restarted.calls[watch + 1].asked_at_ms - listens_at);
+    restarted.reply(watch + 1, f.list(++index, kInService));
+    REQUIRE(f.hears(restarted, index, listens_at, kHeardMs));
+    worst_heard_ms = std::max(worst_heard_ms, restarted.calls[watch + 2].asked_at_ms - listens_at);
+    restarted.reply(watch + 2, f.list(++index, kInService));
+    REQUIRE(f.hears(restarted, index, loop::now_ms(), kAnswerHeardMs));
+    ++index;
+  }
+  CHECK(worst_asked_ms < kAskedAgainMs);
+  CHECK(worst_heard_ms < kHeardAgainMs);
+}
+
+// guards: a loop of calls that keeps discovery and the router busy with nothing
+TEST_CASE("long polls that are answered at once with nothing: at most 40 calls in any second") {
+  Fleet f;
+  f.discovery.on_call = [&](std::size_t call) {
+    const bool whole = f.discovery.calls[call].asks_for_whole_list();
+    f.discovery.reply(call, whole ? f.list(kFirstIndex, kInService) : Fleet::nothing_new(kFirstIndex));
+  };
+  f.start();
+  run_for(f.base.get(), 2500);
+  CHECK(f.discovery.most_calls_in_a_second() <= 40);
+  CHECK(f.discovery.calls.size() > 10);
+  CHECK(f.discovery.whole_lists_asked() == 1);
+}
+
+// ---- SIGHUP ----
+
+// guards: a watch that has fallen silent kept for its full time, though operators name its discovery once more
+TEST_CASE(
+    "SIGHUP names the discovery whose long poll is open: it is asked anew at once, beside the open call") {
+  constexpr double kAskedAnewMs = 500;
+  Fleet f;
+  const std::size_t watch = f.start_watch();
+  ScriptedDiscovery other(f.base.get());
+  SUBCASE("the same address") {}
+  SUBCASE("another address, and back") {
+    f.reload(other);
+    REQUIRE(f.until([&] { return !other.calls.empty(); }));
+  }
+  REQUIRE(f.discovery.calls.size() == watch + 1); // the long poll is still the last call there
+  f.reload(f.discovery);
+  const double logged_at = loop::now_ms();
+  REQUIRE(f.until([&] { return f.discovery.calls.size() > watch + 1; }));
+  CHECK(f.discovery.calls[watch + 1].asked_at_ms - logged_at < kAskedAnewMs);
+  CHECK(f.discovery.is_open(watch));
+  f.discovery.reply(watch + 1, f.drain());
+  f.check_drain(f.discovery, logged_at, kReloadHeardMs);
+  CHECK(f.discovery.most_open_connections <= 2);
+}
+
+// guards: a drain that only the new discovery knows, heard later than operators count on
+TEST_CASE("SIGHUP to a discovery that leaves its first two calls unanswered: its drain is in force in 4 s") {
+  Fleet f;
+  f.start_watch();
+  ScriptedDiscovery next(f.base.get()), third(f.base.get());
+  std::size_t unanswered = 0;
+  next.on_call = [&](std::size_t call) {
+    if (next.calls[call].asks_for_changes_since(kDrainIndex)) return;
+    if (unanswered < 2) {
+      ++unanswered;
+    } else {
+      next.reply(call, f.drain());
+    }
+  };
+  SUBCASE("one SIGHUP") {}
+  SUBCASE("several in quick succession: what the last one names counts") {
+    f.reload(f.discovery);
+    f.reload(next);
+    f.reload(third);
+    unanswered = 0;
+  }
+  const double signalled_at = loop::now_ms();
+  f.reload(next);
+  f.check_drain(next, signalled_at, kReloadHeardMs);
+  CHECK(next.most_open_connections <= 2);
+}
+
+// ---- a new process ----
+
+// guards: requests to a server of the configuration's list that has been drained or removed since
+TEST_CASE("a new process does not serve from its known list while discovery may still answer") {
+  Fleet f;
+  f.start();
+  CHECK(f.readiness() == 503);
+  Raw client(f.program->port());
+  for (int i = 0; i < 10; ++i) CHECK(f.status_of(client) == 503);
+  CHECK(f.first.seen.empty());
+  f.discovery.reply(0, f.drain()); // only now: all of the requests have been answered
+  REQUIRE(f.hears(f.discovery, kDrainIndex, loop::now_ms(), kAnswerHeardMs));
+  CHECK(f.readiness() == 200);
+  f.check_served();
+  CHECK(f.first.seen.empty());
+}
+
+// guards: a router that never serves, as discovery is down when it starts
+TEST_CASE(
+    "a new process whose discovery stays silent: it is not ready at once, and serves from its known list "
+    "within 3 s") {
+  constexpr double kServesMs = 3000;
+  Fleet f;
+  const double started_at = loop::now_ms();
+  f.start();
+  CHECK(f.readiness() == 503);
+  while (f.readiness() != 200 && loop::now_ms() - started_at < kServesMs) run_for(f.base.get(), 10);
+  CHECK(f.readiness() == 200);
+  CHECK(loop::now_ms() - started_at < kServesMs);
+  f.check_served();
+  CHECK_FALSE(f.first.seen.empty());
+}
+
+// ---- a drain and requests that lie in the router's sockets together ----
+
+// guards: requests sent to a server that discovery has drained already, as they are read before its answer
+TEST_CASE("a drain and 100 requests that a held-up process finds together: none goes to the drained server") {
+  constexpr int kRounds = 5;
+  constexpr std::size_t kClients = 100;
+  Fleet f;
+  f.start_watch();
+  std::vector<std::unique_ptr<Raw>> clients;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<Raw>(f.program->port()));
+    REQUIRE(f.status_of(*clients.back()) == 200);
+  }
+  int index = kFirstIndex;
+  for (int round = 0; round < kRounds; ++round) {
+    const bool drains_first = round % 2 == 0;
+    Peer& drained = drains_first ? f.first : f.second;
+    const std::string list =
+        f.list(++index, drains_first ? kDraining : kInService, drains_first ? kInService : kDraining);
+    const std::size_t before = drained.seen.size(), answers_before = clients.front()->answers.size();
+    f.program->hold();
+    for (auto& client : clients) {
+      const std::string number = std::to_string(++f.requests);
+      client->send(get("/k/" + number, "r" + number));
+    }
+    f.discovery.reply(f.discovery.calls.size() - 1, list);
+    f.program->go_on();
+    CHECK(f.until([&] {
+      return std::all_of(clients.begin(), clients.end(), [&](auto& client) {
+        return client->look(), client->answers.size() > answers_before;
+      });
+    }));
+    const std::size_t reached = drained.seen.size() - before;
+    CAPTURE(round);
+    CHECK(reached == 0);
+    for (const auto& client : clients) CHECK(client->answers.back().status == 200);
+    REQUIRE(f.hears(f.discovery, index, loop::now_ms(), kAnswerHeardMs));
+    f.discovery.reply(f.discovery.calls.size() - 1, f.list(++index, kInService)); // both serve again
+    REQUIRE(f.hears(f.discovery, index, loop::now_ms(), kAnswerHeardMs));
+  }
+}
+
+// ---- what is asked for, and what is taken ----
+
+// guards: the whole list asked for by each of many routers, as a discovery restarts
+TEST_CASE("a long poll whose connection breaks or falls silent: changes are asked for, then the whole list") {
+  Fleet f;
+  const std::size_t watch = f.start_watch();
+  CHECK(f.discovery.calls[watch].waits_for(kLongPollMs));
+  SUBCASE("reset") { f.discovery.reset(watch); }
+  SUBCASE("closed") { f.discovery.close(watch); }
+  SUBCASE("silent") {}
+  REQUIRE(f.until([&] { return f.discovery.calls.size() > watch + 1; }));
+  CHECK(f.discovery.calls[watch + 1].asks_for_changes_since(kFirstIndex));
+  CHECK(f.discovery.calls[watch + 1].waits_for(1));
+  CHECK(f.discovery.whole_lists_asked() == 1);
+  const double failed_at = loop::now_ms();
+  f.discovery.reset(watch + 1);
+  REQUIRE(f.until([&] { return f.discovery.calls.size() > watch + 2; }));
+  CHECK(f.discovery.calls[watch + 2].asks_for_whole_list());
+  f.discovery.reply(watch + 2, f.drain());
+  f.check_drain(f.discovery, failed_at, kHeardMs);
+}
+
+// guards: a drain undone by an older list; a discovery that starts anew never believed
+TEST_CASE("a list with a lower index than was told before is stale, and the third in a row is taken") {
+  constexpr int kLowerIndex = 3;
+  Fleet f;
+  std::size_t call = f.start_watch();
+  const std::string lower = f.list(kLowerIndex, kDraining);
+  for (std::size_t stale = 1; stale <= 2; ++stale) {
+    f.discovery.reply(call, lower);
+    REQUIRE(f.until([&] { return f.discovery.calls.size() > call + 1; }));
+    CHECK(count_of("stale", f.program->text) == stale);
+    CHECK_FALSE(f.discovery.calls.back().asks_for_changes_since(kLowerIndex));
+    const std::size_t before = f.first.seen.size();
+    f.check_served();
+    CHECK(f.first.seen.size() > before); // it has been told as draining by the stale list alone
+    call = f.discovery.calls.size() - 1;
+  }
+  f.discovery.reply(call, lower);
+  REQUIRE(f.hears(f.discovery, kLowerIndex, loop::now_ms(), kAnswerHeardMs));
+  CHECK(count_of("stale", f.program->text) == 2);
+  const std::size_t before = f.first.seen.size();
+  f.check_served();
+  CHECK(f.first.seen.size() == before);
+}
+
+// guards: a list lost, a router without servers, or one that asks no more, after an answer of no use
+TEST_CASE(
+    "an answer that is of no use: it is logged, the last list stays in force, the next answer is heard") {
+  constexpr std::size_t kMiB = 1 << 20;
+  Fleet f;
+  const std::size_t watch = f.start_watch();
+  std::string answer;
+  bool closes = false, whole_list_follows = true;
+  SUBCASE("not HTTP") { answer = "SMTP ready\r\n\r\n"; }
+  SUBCASE("not JSON") { answer = ok("{\"index\":8,\"snapshot\":true,\"endpoints\":[}"); }
+  SUBCASE("cut off in the middle") {
+    answer = first_half(f.drain());
+    closes = true;
+  }
+  SUBCASE("a header without end") {
+    answer = "HTTP/1.1 200 OK\r\n";
+    while (answer.size() < kMiB) answer += "X-Filler: abcdefghijklmnopqrstuvwxyz\r\n";
+  }
+  SUBCASE("a body announced over 8 MiB") {
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(8 * kMiB + 1) + "\r\n\r\n{";
+  }
+  SUBCASE("a chunked body that grows beyond 8 MiB") {
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string chunk = "10000\r\n" + std::string(0x10000, ' ') + "\r\n";
+    while (answer.size() < 9 * kMiB) answer += chunk;
+  }
+  SUBCASE("a stale index") {
+    answer = f.list(kFirstIndex - 1, kDraining);
+    whole_list_follows = false; // changes would do
+  }
+  SUBCASE("a status of 500") { answer = status(500); }
+  const std::size_t logged_before = f.program->text.size();
+  const double failed_at = loop::now_ms();
+  f.discovery.reply(watch, answer);
+  if (closes) f.discovery.close(watch);
+  REQUIRE(f.until([&] { return f.discovery.calls.size() > watch + 1; }));
+  const std::string logged = f.program->text.substr(logged_before);
+  INFO(logged);
+  const bool says_why =
+      logged.find(" why=") != std::string::npos || logged.find(" code=") != std::string::npos;
+  CHECK(says_why);
+  CHECK_FALSE(f.discovery.calls[watch + 1].asks_for_changes_since(kFirstIndex - 1));
+  if (whole_list_follows) CHECK(f.discovery.calls[watch + 1].asks_for_whole_list());
+  const std::size_t before = f.first.seen.size();
+  f.check_served();
+  CHECK(f.first.seen.size() > before);
+  f.discovery.reply(f.discovery.calls.size() - 1, f.drain());
+  f.check_drain(f.discovery, loop::now_ms(), kAnswerHeardMs);
+  CHECK(loop::now_ms() - failed_at < kHeardMs);
+}
