A bench for what a fleet of routers costs discovery, and how soon it has changes

Operators saw routers send to draining servers: the watch's cost and delay were only known for one router before a scripted discovery that answers at once. fernward_bench_discovery_fleet starts real processes before one emulated discovery with bounded capacity, an outage, resets and silent long polls, counts its calls, answers, connections and bytes for each router, and measures how long each change takes to each router. The program is an argument, so that two builds can be compared by the same command.

--- /dev/null
+++ b/bench/discovery/registry.cpp
@@ -0,0 +1,75 @@
+#include "discovery/registry.h"
+
+#include <algorithm>
+
+namespace fernward::bench::discovery {
+namespace {
+
+constexpr Index kFirstIndex = 41;
+constexpr std::size_t kGroups = 16;
+
+std::string body_start(Index index, bool snapshot) {
+  return "{\"index\":" + std::to_string(index) + ",\"snapshot\":" + (snapshot ? "true" : "false") +
+         ",\"endpoints\":[";
+}
+constexpr const char* kBodyEnd = "]}";
+
+std::string server_name(std::size_t server) {
+  char name[16];
+  std::snprintf(name, sizeof name, "s-%08zx", server * 2654435761u % 0x100000000u);
+  return name;
+}
+
+/// Nothing listens there: routers without clients do not connect to servers.
+std::string server_address(std::size_t server) {
+  return "127.1." + std::to_string(server / 250) + "." + std::to_string(server % 250 + 1) + ":7070";
+}
+
+} // namespace
+
+Registry::Registry(std::size_t servers) : index_(kFirstIndex), servers_(servers) {
+  for (std::size_t i = 0; i < servers; ++i) {
+    servers_[i].before_status =
+        "{\"name\":\"" + server_name(i) + "\",\"address\":\"" + server_address(i) +
+        "\",\"zone\":\"a\",\"type\":\"cache\",\"group\":" + std::to_string(i % kGroups) + ",\"status\":\"";
+    servers_[i].after_status = "\",\"weight\":1.0,\"since_ms\":0}";
+  }
+}
+
+Index Registry::set_terminating(std::size_t server, bool terminating) {
+  servers_[server].terminating = terminating;
+  ++index_;
+  history_.push_back({index_, server});
+  return index_;
+}
+
+void Registry::append_entry(std::string& body, std::size_t server) const {
+  if (body.back() != '[') body += ',';
+  const Server& entry = servers_[server];
+  body += entry.before_status;
+  body += entry.terminating ? "terminating" : "in_service";
+  body += entry.after_status;
+}
+
+const std::string& Registry::snapshot() {
+  if (snapshot_index_ == index_) return snapshot_;
+  snapshot_ = body_start(index_, true);
+  for (std::size_t i = 0; i < servers_.size(); ++i) append_entry(snapshot_, i);
+  snapshot_ += kBodyEnd;
+  snapshot_index_ = index_;
+  return snapshot_;
+}
+
+std::string Registry::changes_after(Index since) const {
+  std::vector<std::size_t> changed;
+  for (auto change = history_.rbegin(); change != history_.rend() && change->index > since; ++change) {
+    changed.push_back(change->server);
+  }
+  std::sort(changed.begin(), changed.end());
+  changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+  std::string body = body_start(index_, false);
+  for (const std::size_t server : changed) append_entry(body, server);
+  return body + kBodyEnd;
+}
+
+} // namespace fernward::bench::discovery
--- /dev/null
+++ b/bench/discovery/router_process.cpp
@@ -0,0 +1,123 @@
+#include "discovery/router_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace fernward::bench::discovery {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto kTerminationTimeout = std::chrono::seconds(5); // orderly ends take 4 s at most
+constexpr auto kTerminationPoll = std::chrono::milliseconds(20);
+constexpr int kExitNotStarted = 127;
+
+Json settings() {
+  return Json::parse(R"({"balancers": 1, "my_zone": 0, "tick": 1, "dcs": ["a"], "kinds": ["cache", "origin"],
+    "classes": [{"name": "read", "aim": 900, "give_up": 2000, "repeat": "safe", "worth": 1}],
+    "parties": [{"name": "acme", "share": 1, "quota_per_s": 1000}],
+    "telemetry": {"via": "inline", "columns": ["queue", "latency_ms"]},
+    "limits": {"max_attempts": 4, "may_cancel": true, "may_duplicate": true, "retry_after": true,
+               "max_retry_after": 1500, "connect_timeout": 1000, "conn_idle": 20000},
+    "obligations": {"grace_to_answer": 20, "warm_after": 0, "start_capacity": 1, "tip_after": 2000}})");
+}
+
+std::string hexadecimal(std::uint64_t number) {
+  char text[24];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(number));
+  return text;
+}
+
+std::string write_config(const RouterOptions& options) {
+  const Json config = {{"name", options.name},           {"listen", "127.0.0.1:0"},
+                       {"discovery", options.discovery}, {"seed", hexadecimal(options.seed)},
+                       {"limits", {{"sockets", 256}}},   {"settings", settings()}};
+  const std::string path = (options.folder / "config.json").string();
+  std::ofstream(path) << config.dump();
+  return path;
+}
+
+/// In the child, between fork and exec: only calls that are safe there.
+[[noreturn]] void execute(const char* program, char* const* arguments, char* const* environment,
+                          pid_t parent) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL); // no router outlives the measurement
+  if (getppid() != parent) _exit(kExitNotStarted);
+  const int nowhere = open("/dev/null", O_WRONLY | O_CLOEXEC);
+  dup2(nowhere, STDOUT_FILENO);
+  dup2(nowhere, STDERR_FILENO);
+  execve(program, arguments, environment);
+  _exit(kExitNotStarted);
+}
+
+} // namespace
+
+RouterProcess::RouterProcess(const RouterOptions& options) : pid_(0) {
+  std::string config = "NODE_CONFIG=" + write_config(options);
+  std::string temporary = "TMPDIR=" + options.folder.string();
+  std::string program = options.program;
+  std::string command = "serve";
+  const std::vector<char*> arguments{program.data(), command.data(), nullptr};
+  const std::vector<char*> environment{config.data(), temporary.data(), nullptr};
+  const pid_t parent = getpid();
+  pid_ = fork();
+  if (pid_ < 0) throw std::runtime_error("cannot start " + options.program);
+  if (pid_ == 0) execute(program.c_str(), arguments.data(), environment.data(), parent);
+}
+
+RouterProcess::RouterProcess(RouterProcess&& other) noexcept : pid_(std::exchange(other.pid_, 0)) {}
+
+RouterProcess::~RouterProcess() {
+  terminate();
+  const auto give_up_at = std::chrono::steady_clock::now() + kTerminationTimeout;
+  while (running()) {
+    if (std::chrono::steady_clock::now() > give_up_at) kill(pid_, SIGKILL);
+    std::this_thread::sleep_for(kTerminationPoll);
+  }
+}
+
+void RouterProcess::terminate() {
+  if (pid_ > 0) kill(pid_, SIGTERM);
+}
+
+bool RouterProcess::running() {
+  if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) pid_ = 0;
+  return pid_ > 0;
+}
+
+double RouterProcess::cpu_ms() const {
+  constexpr double kNanosecondsPerMs = 1e6;
+  const std::filesystem::path threads = "/proc/" + std::to_string(pid_) + "/task";
+  double nanoseconds = 0;
+  for (const auto& thread : std::filesystem::directory_iterator(threads)) {
+    double of_thread = 0;
+    std::ifstream(thread.path() / "schedstat") >> of_thread;
+    nanoseconds += of_thread;
+  }
+  return nanoseconds / kNanosecondsPerMs;
+}
+
+double RouterProcess::peak_rss_mb() const {
+  constexpr double kKilobytesPerMb = 1024;
+  const std::string name = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.compare(0, name.size(), name) == 0) {
+      return std::strtod(line.c_str() + name.size(), nullptr) / kKilobytesPerMb;
+    }
+  }
+  throw std::runtime_error("no " + name + " of process " + std::to_string(pid_));
+}
+
+} // namespace fernward::bench::discovery
--- /dev/null
+++ b/bench/discovery_fleet.cpp
@@ -0,0 +1,386 @@
+// What a fleet of routers costs discovery, and how soon the routers have its changes: real `fernward serve` processes
+// on loopback before one emulated discovery service, without clients. Times of faults and changes count from the moment
+// at which every router has a long poll open, as do all figures; discovery's capacity is unlimited until then.
+//
+//   fernward_bench_discovery_fleet --program build/fernward --routers 300 --servers 3200 --changes-per-second 1
+//
+// docs/notes/discovery.md has the runs that are compared, and their figures.
+#include <event2/event.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <exception>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "discovery/propagation.h"
+#include "discovery/registry.h"
+#include "discovery/router_process.h"
+#include "discovery/server.h"
+#include "loop/deadlines.h"
+
+namespace {
+
+using fernward::bench::discovery::Capacity;
+using fernward::bench::discovery::Propagation;
+using fernward::bench::discovery::Registry;
+using fernward::bench::discovery::RouterCounters;
+using fernward::bench::discovery::RouterProcess;
+using fernward::bench::discovery::Server;
+namespace loop = fernward::loop;
+
+constexpr double kMsPerSecond = 1000;
+constexpr double kAllowedDelayMs = 6250; // of a change: 6 s until it counts as told, and the 250 ms of grace
+constexpr double kQuietEndMs = 7000; // no changes at the end, so that each can be had within what is allowed
+constexpr double kStartIntervalMs = 5;     // between the starts of two processes
+constexpr double kStartTimeoutMs = 60000;  // for all of them to wait for changes
+constexpr double kSettleMs = 1000;         // after that, before anything is counted
+constexpr double kLatenessIntervalMs = 10; // how often the loop's lateness is looked at
+
+struct Options {
+  std::string program;
+  std::size_t routers = 0;
+  std::size_t servers = 0;
+  double seconds = 0;
+  std::uint64_t seed = 0;
+  Capacity capacity;
+  double all_snapshots_seconds = 0; // 0: capacity is given as such
+  std::optional<double> outage_at;
+  double outage_seconds = 0;
+  std::optional<double> reset_at;
+  std::optional<double> silent_at;
+  double changes_per_second = 0;
+};
+
+std::optional<double> optional_number(const cxxopts::ParseResult& parsed, const char* name) {
+  if (parsed.count(name) == 0) return std::nullopt;
+  return parsed[name].as<double>();
+}
+
+/// Throws cxxopts' exceptions, and std::invalid_argument. Nothing where help was asked for.
+std::optional<Options> parse(int argc, char** argv) {
+  const auto number = [](const char* fallback) { return cxxopts::value<double>()->default_value(fallback); };
+  const auto count = [](const char* fallback) {
+    return cxxopts::value<std::size_t>()->default_value(fallback);
+  };
+  cxxopts::Options options("fernward_bench_discovery_fleet", "What a fleet of routers costs discovery");
+  options.add_options()("program", "The router's program", cxxopts::value<std::string>());
+  options.add_options()("routers", "Processes", count("30"));
+  options.add_options()("servers", "Endpoints that discovery has", count("200"));
+  options.add_options()("seconds", "Of the run, once all routers wait for changes", number("30"));
+  options.add_options()("seed", "Of the choice of servers and of the routers",
+                        cxxopts::value<std::uint64_t>()->default_value("1"));
+  options.add_options()("answers-per-second", "Capacity of discovery; 0: no limit", number("0"));
+  options.add_options()("bytes-per-second", "Capacity of discovery; 0: no limit", number("0"));
+  options.add_options()(
+      "all-snapshots-seconds",
+      "Sets --bytes-per-second: so long take snapshots for all routers in turn; 0: does not", number("0"));
+  options.add_options()("outage-at", "Second at which discovery stops answering", cxxopts::value<double>());
+  options.add_options()("outage-seconds", "How long it does", number("8"));
+  options.add_options()("reset-at", "Second at which all connections are reset", cxxopts::value<double>());
+  options.add_options()("silent-at", "Second at which all open long polls fall silent",
+                        cxxopts::value<double>());
+  options.add_options()("changes-per-second", "A server turns terminating, or in service again", number("1"));
+  options.add_options()("help", "This text");
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::printf("%s\n", options.help().c_str());
+    return std::nullopt;
+  }
+  Options result;
+  result.program = parsed["program"].as<std::string>();
+  result.routers = parsed["routers"].as<std::size_t>();
+  result.servers = parsed["servers"].as<std::size_t>();
+  result.seconds = parsed["seconds"].as<double>();
+  result.seed = parsed["seed"].as<std::uint64_t>();
+  result.capacity.answers_per_second = parsed["answers-per-second"].as<double>();
+  result.capacity.bytes_per_second = parsed["bytes-per-second"].as<double>();
+  result.all_snapshots_seconds = parsed["all-snapshots-seconds"].as<double>();
+  result.outage_at = optional_number(parsed, "outage-at");
+  result.outage_seconds = parsed["outage-seconds"].as<double>();
+  result.reset_at = optional_number(parsed, "reset-at");
+  result.silent_at = optional_number(parsed, "silent-at");
+  result.changes_per_second = parsed["changes-per-second"].as<double>();
+  if (result.routers < 1 || result.servers < 1) {
+    throw std::invalid_argument("routers and servers must be 1 or more");
+  }
+  return result;
+}
+
+/// A folder for the routers' files, removed at the end.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    char path[] = "/tmp/fernward-fleet-XXXXXX";
+    if (mkdtemp(path) == nullptr) throw std::runtime_error("cannot make a temporary folder");
+    path_ = path;
+  }
+  ~TemporaryFolder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+
+  std::filesystem::path make_subfolder(const std::string& name) const {
+    std::filesystem::create_directory(path_ / name);
+    return path_ / name;
+  }
+
+ private:
+  std::filesystem::path path_;
+};
+
+/// The values of one figure, one for each router.
+struct Spread {
+  double least = 0, median = 0, most = 0;
+};
+
+Spread spread_of(std::vector<double> values) {
+  if (values.empty()) return {};
+  std::sort(values.begin(), values.end());
+  return {values.front(), values[values.size() / 2], values.back()};
+}
+
+double quantile(const std::vector<double>& sorted, double share) {
+  if (sorted.empty()) return 0;
+  return sorted[std::min(sorted.size() - 1,
+                         static_cast<std::size_t>(share * static_cast<double>(sorted.size())))];
+}
+
+struct BaseFree {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+
+class Measurement {
+ public:
+  explicit Measurement(Options options)
+      : options_(std::move(options)),
+        base_(event_base_new()),
+        deadlines_(base_.get()),
+        registry_(options_.servers),
+        propagation_(options_.routers),
+        random_(options_.seed),
+        server_(base_.get(), deadlines_, registry_, propagation_, options_.routers) {
+    set_capacity();
+    for (const int number : {SIGINT, SIGTERM}) {
+      signals_.emplace_back(evsignal_new(base_.get(), number, &Measurement::interrupted, this));
+      event_add(signals_.back().get(), nullptr);
+    }
+  }
+
+  /// False if it was interrupted or a router ended.
+  bool run() {
+    started_at_ms_ = loop::now_ms();
+    watch_lateness();
+    start_router();
+    event_base_dispatch(base_.get());
+    for (RouterProcess& router : processes_) router.terminate(); // all together, then each is waited for
+    processes_.clear();
+    return finished_;
+  }
+
+ private:
+  static void interrupted(int, short, void* self) {
+    std::fprintf(stderr, "fernward_bench_discovery_fleet: interrupted\n");
+    event_base_loopbreak(static_cast<Measurement*>(self)->base_.get());
+  }
+
+  void after(double ms, std::function<void()> what) { deadlines_.at(loop::now_ms() + ms, std::move(what)); }
+
+  void fail(const char* why) {
+    std::fprintf(stderr, "fernward_bench_discovery_fleet: %s\n", why);
+    event_base_loopbreak(base_.get());
+  }
+
+  void set_capacity() {
+    if (options_.all_snapshots_seconds <= 0) return;
+    const std::size_t bytes = options_.routers * registry_.snapshot().size();
+    options_.capacity.bytes_per_second = static_cast<double>(bytes) / options_.all_snapshots_seconds;
+  }
+
+  // The emulated discovery shares the machine with the routers: a run in which it was late itself says little.
+  void watch_lateness() {
+    const double due_ms = loop::now_ms() + kLatenessIntervalMs;
+    deadlines_.at(due_ms, [this, due_ms] {
+      lateness_ms_.push_back(loop::now_ms() - due_ms);
+      watch_lateness();
+    });
+  }
+
+  void start_router() {
+    const std::size_t router = processes_.size();
+    if (router == options_.routers) return wait_until_settled();
+    const std::string name = "router-" + std::to_string(router);
+    processes_.emplace_back(fernward::bench::discovery::RouterOptions{
+        options_.program, name, server_.address_for(router), random_(), folder_.make_subfolder(name)});
+    after(kStartIntervalMs, [this] { start_router(); });
+  }
+
+  void wait_until_settled() {
+    constexpr double kPollMs = 50;
+    if (server_.all_routers_wait()) return after(kSettleMs, [this] { begin(); });
+    if (loop::now_ms() - started_at_ms_ > kStartTimeoutMs) return fail("the routers did not come up in time");
+    after(kPollMs, [this] { wait_until_settled(); });
+  }
+
+  void begin() {
+    start_seconds_ = (loop::now_ms() - started_at_ms_) / kMsPerSecond;
+    lateness_ms_.clear();
+    server_.clear_counters();
+    server_.set_capacity(options_.capacity);
+    for (const RouterProcess& router : processes_) cpu_ms_at_begin_.push_back(router.cpu_ms());
+    if (options_.outage_at) plan_outage(*options_.outage_at * kMsPerSecond);
+    if (options_.reset_at) {
+      after(*options_.reset_at * kMsPerSecond, [this] { server_.reset_all_connections(); });
+    }
+    if (options_.silent_at) {
+      after(*options_.silent_at * kMsPerSecond, [this] { server_.silence_open_long_polls(); });
+    }
+    last_change_at_ms_ = loop::now_ms() + options_.seconds * kMsPerSecond - kQuietEndMs;
+    plan_change();
+    after(options_.seconds * kMsPerSecond, [this] { end(); });
+  }
+
+  void plan_outage(double begins_in_ms) {
+    const double length_ms = options_.outage_seconds * kMsPerSecond;
+    const double begins_ms = loop::now_ms() + begins_in_ms;
+    propagation_.set_outage({begins_ms, begins_ms + length_ms});
+    after(begins_in_ms, [this] { server_.begin_outage(); });
+    after(begins_in_ms + length_ms, [this] { server_.end_outage(); });
+  }
+
+  void plan_change() {
+    if (options_.changes_per_second <= 0) return;
+    const double interval_ms = kMsPerSecond / options_.changes_per_second;
+    if (loop::now_ms() + interval_ms > last_change_at_ms_) return;
+    after(interval_ms, [this] {
+      change();
+      plan_change();
+    });
+  }
+
+  // A server turns terminating with every other change, and is in service again with the next.
+  void change() {
+    const bool terminates = !terminating_server_;
+    if (terminates) terminating_server_ = random_() % options_.servers;
+    propagation_.changed(registry_.set_terminating(*terminating_server_, terminates), loop::now_ms());
+    if (!terminates) terminating_server_.reset();
+    server_.registry_changed();
+  }
+
+  void end() {
+    for (RouterProcess& router : processes_) {
+      if (!router.running()) return fail("a router has ended by itself");
+    }
+    const std::size_t missing = propagation_.finish(loop::now_ms());
+    print_setting();
+    print_routers();
+    print_changes(missing);
+    finished_ = true;
+    event_base_loopbreak(base_.get());
+  }
+
+  void print_setting() {
+    std::printf("%zu routers, %zu servers, snapshot of %zu bytes, %.0f s after a start of %.1f s\n",
+                options_.routers, options_.servers, registry_.snapshot().size(), options_.seconds,
+                start_seconds_);
+    std::printf(
+        "capacity: %.0f answers/s, %.0f bytes/s (0: no limit); longest time in discovery's queue %.0f ms\n",
+        options_.capacity.answers_per_second, options_.capacity.bytes_per_second,
+        server_.longest_queueing_ms());
+    std::sort(lateness_ms_.begin(), lateness_ms_.end());
+    double load[1] = {0};
+    getloadavg(load, 1);
+    std::printf("discovery's loop late, p99 %.1f ms, worst %.1f ms; load average of the machine %.1f\n\n",
+                quantile(lateness_ms_, 0.99), quantile(lateness_ms_, 1), load[0]);
+  }
+
+  void print_routers() const {
+    std::printf("| of each router | min | median | max |\n| --- | --- | --- | --- |\n");
+    print_counter("snapshots answered", [](const RouterCounters& c) { return c.snapshots_answered; });
+    print_counter("long polls answered", [](const RouterCounters& c) { return c.long_polls_answered; });
+    print_counter("calls", [](const RouterCounters& c) { return c.calls; });
+    print_counter("calls given up", [](const RouterCounters& c) { return c.calls_given_up; });
+    print_counter("connections made", [](const RouterCounters& c) { return c.connections_made; });
+    print_counter("most connections open", [](const RouterCounters& c) { return c.most_connections_open; });
+    print_counter("bytes of answers", [](const RouterCounters& c) { return c.bytes_written; });
+    std::vector<double> cpu_ms, rss_mb;
+    for (std::size_t i = 0; i < processes_.size(); ++i) {
+      cpu_ms.push_back(processes_[i].cpu_ms() - cpu_ms_at_begin_[i]);
+      rss_mb.push_back(processes_[i].peak_rss_mb());
+    }
+    print_spread("CPU, ms", spread_of(cpu_ms), 1);
+    print_spread("peak RSS, MB", spread_of(rss_mb), 1);
+  }
+
+  template <typename Counter>
+  void print_counter(const char* name, Counter counter) const {
+    std::vector<double> values;
+    for (std::size_t i = 0; i < options_.routers; ++i) {
+      values.push_back(static_cast<double>(counter(server_.counters(i))));
+    }
+    print_spread(name, spread_of(values), 0);
+  }
+
+  static void print_spread(const char* name, const Spread& spread, int decimals) {
+    std::printf("| %s | %.*f | %.*f | %.*f |\n", name, decimals, spread.least, decimals, spread.median,
+                decimals, spread.most);
+  }
+
+  void print_changes(std::size_t missing) const {
+    std::vector<double> delays = propagation_.delays_ms();
+    std::sort(delays.begin(), delays.end());
+    const auto late =
+        std::count_if(delays.begin(), delays.end(), [](double ms) { return ms > kAllowedDelayMs; });
+    std::printf(
+        "\n%zu changes, %zu with each router counted: median %.0f ms, p99 %.0f ms, worst %.0f ms; "
+        "%td over %.0f ms, %zu not there at the end\n",
+        propagation_.changes(), delays.size(), quantile(delays, 0.5), quantile(delays, 0.99),
+        quantile(delays, 1), late, kAllowedDelayMs, missing);
+  }
+
+  Options options_;
+  std::unique_ptr<event_base, BaseFree> base_;
+  loop::Deadlines deadlines_;
+  Registry registry_;
+  Propagation propagation_;
+  std::mt19937_64 random_;
+  Server server_;
+  TemporaryFolder folder_;
+  std::vector<RouterProcess> processes_;
+  std::vector<loop::EventPtr> signals_;
+  std::vector<double> cpu_ms_at_begin_;
+  std::vector<double> lateness_ms_;
+  std::optional<std::size_t> terminating_server_;
+  double started_at_ms_ = 0;
+  double start_seconds_ = 0;
+  double last_change_at_ms_ = 0;
+  bool finished_ = false;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+  try {
+    const auto options = parse(argc, argv);
+    if (!options) return 0;
+    signal(SIGPIPE, SIG_IGN);
+    return Measurement(*options).run() ? 0 : 1;
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::fprintf(stderr, "fernward_bench_discovery_fleet: %s\n", error.what());
+    return 2;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "fernward_bench_discovery_fleet: %s\n", error.what());
+    return 1;
+  }
+}
