Discovery bench: closes without a call counted, changes by the clock, quick faults

Where a process is starved of CPU its wait ends while the answer lies in its socket: such closes were in no row, and showed only as connections made. Changes were planned from the change before, so that a late loop made fewer. A program that does not start was noticed after a minute only.

--- a/bench/discovery/router_process.cpp
+++ b/bench/discovery/router_process.cpp
@@ -44,7 +44,7 @@
   const Json config = {{"name", options.name},           {"listen", "127.0.0.1:0"},
                        {"discovery", options.discovery}, {"seed", hexadecimal(options.seed)},
                        {"limits", {{"sockets", 256}}},   {"settings", settings()}};
-  const std::string path = (options.folder / "config.json").string();
+  std::string path = (options.folder / "config.json").string();
   std::ofstream(path) << config.dump();
   return path;
 }
--- a/bench/discovery/server.cpp
+++ b/bench/discovery/server.cpp
@@ -94,7 +94,8 @@
 void Server::changed(bufferevent*, short what, void* connection) {
   Connection& of = *static_cast<Connection*>(connection);
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
-  if (of.call != 0 || of.silent) ++of.server->counters_of(of).calls_given_up;
+  RouterCounters& counters = of.server->counters_of(of);
+  ++(of.call != 0 || of.silent ? counters.calls_given_up : counters.closed_without_call);
   of.server->close(of);
 }
 
--- a/bench/discovery/server.h
+++ b/bench/discovery/server.h
@@ -31,7 +31,8 @@
   std::uint64_t snapshots_answered = 0;
   std::uint64_t long_polls_answered = 0;
   std::uint64_t calls = 0;
-  std::uint64_t calls_given_up = 0; // the router closed the connection before the answer
+  std::uint64_t calls_given_up = 0;      // the router closed the connection before the answer
+  std::uint64_t closed_without_call = 0; // connections that it closed after, or amid, an answer
   std::uint64_t connections_made = 0;
   std::size_t connections_open = 0;
   std::size_t most_connections_open = 0;
--- a/bench/discovery_fleet.cpp
+++ b/bench/discovery_fleet.cpp
@@ -228,11 +228,17 @@
 
   void wait_until_settled() {
     constexpr double kPollMs = 50;
+    if (!all_routers_run()) return fail("a router has ended by itself");
     if (server_.all_routers_wait()) return after(kSettleMs, [this] { begin(); });
     if (loop::now_ms() - started_at_ms_ > kStartTimeoutMs) return fail("the routers did not come up in time");
     after(kPollMs, [this] { wait_until_settled(); });
   }
 
+  bool all_routers_run() {
+    return std::all_of(processes_.begin(), processes_.end(),
+                       [](RouterProcess& router) { return router.running(); });
+  }
+
   void begin() {
     start_seconds_ = (loop::now_ms() - started_at_ms_) / kMsPerSecond;
     lateness_ms_.clear();
@@ -247,7 +253,7 @@
       after(*options_.silent_at * kMsPerSecond, [this] { server_.silence_open_long_polls(); });
     }
     last_change_at_ms_ = loop::now_ms() + options_.seconds * kMsPerSecond - kQuietEndMs;
-    plan_change();
+    plan_change_after(loop::now_ms());
     after(options_.seconds * kMsPerSecond, [this] { end(); });
   }
 
@@ -259,13 +265,14 @@
     after(begins_in_ms + length_ms, [this] { server_.end_outage(); });
   }
 
-  void plan_change() {
+  // By the plan and not by when the change before was made, so that a late loop makes no fewer changes.
+  void plan_change_after(double change_before_ms) {
     if (options_.changes_per_second <= 0) return;
-    const double interval_ms = kMsPerSecond / options_.changes_per_second;
-    if (loop::now_ms() + interval_ms > last_change_at_ms_) return;
-    after(interval_ms, [this] {
+    const double due_ms = change_before_ms + kMsPerSecond / options_.changes_per_second;
+    if (due_ms > last_change_at_ms_) return;
+    deadlines_.at(due_ms, [this, due_ms] {
       change();
-      plan_change();
+      plan_change_after(due_ms);
     });
   }
 
@@ -279,9 +286,7 @@
   }
 
   void end() {
-    for (RouterProcess& router : processes_) {
-      if (!router.running()) return fail("a router has ended by itself");
-    }
+    if (!all_routers_run()) return fail("a router has ended by itself");
     const std::size_t missing = propagation_.finish(loop::now_ms());
     print_setting();
     print_routers();
@@ -311,6 +316,8 @@
     print_counter("long polls answered", [](const RouterCounters& c) { return c.long_polls_answered; });
     print_counter("calls", [](const RouterCounters& c) { return c.calls; });
     print_counter("calls given up", [](const RouterCounters& c) { return c.calls_given_up; });
+    print_counter("closed without a call open",
+                  [](const RouterCounters& c) { return c.closed_without_call; });
     print_counter("connections made", [](const RouterCounters& c) { return c.connections_made; });
     print_counter("most connections open", [](const RouterCounters& c) { return c.most_connections_open; });
     print_counter("bytes of answers", [](const RouterCounters& c) { return c.bytes_written; });
