--- a/src/commands/command.h
+++ b/src/commands/command.h
@@ -5,9 +5,9 @@
 
 namespace fernward::commands {
 
-int serve(const arguments::Arguments& arguments);        // run the router
-int check_config(const arguments::Arguments& arguments); // check the file that NODE_CONFIG names
-int config(const arguments::Arguments& arguments);       // write, check and explain an application's file
-int sidecar(const arguments::Arguments& arguments);      // run the router and the application beside it
+int serve(const arguments::Arguments& given);        // run the router
+int check_config(const arguments::Arguments& given); // check the file that NODE_CONFIG names
+int config(const arguments::Arguments& given);       // write, check and explain an application's file
+int sidecar(const arguments::Arguments& given);      // run the router and the application beside it
 
 } // namespace fernward::commands
--- a/src/commands/config.cpp
+++ b/src/commands/config.cpp
@@ -107,8 +107,8 @@
   const auto names = files(options, given, parsed, 2, 2, "OLD NEW");
   const setup::Setup before = setup::read_file(names[0], &environment),
                      after = setup::read_file(names[1], &environment);
-  const bool both = tell(before) & tell(after);
-  if (!both) return kBad;
+  const bool before_sound = tell(before), after_sound = tell(after); // the faults of both are shown
+  if (!before_sound || !after_sound) return kBad;
   bool by_reload = true;
   const auto changes = setup::changes(before.app, after.app);
   for (const auto& c : changes) {
--- a/src/commands/shared.h
+++ b/src/commands/shared.h
@@ -21,7 +21,7 @@
 // Of --log-format; empty: as the file says. Throws UsageError.
 inline std::string log_format(const cxxopts::ParseResult& parsed) {
   if (parsed.count("log-format") == 0) return "";
-  const std::string format = parsed["log-format"].as<std::string>();
+  std::string format = parsed["log-format"].as<std::string>();
   if (format != "text" && format != "json") throw arguments::UsageError("--log-format is text or json");
   return format;
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -17,7 +17,7 @@
 
 // The module's part. Unknown keys are passed over; throws Error for a needed key that is missing or for a
 // value of the wrong type.
-fernward::Settings parse_settings(const nlohmann::json& from);
+fernward::Settings parse_settings(const nlohmann::json& json);
 
 // The network's part: names as they stand in headers and in discovery's list, and limits of connections.
 struct Names {
@@ -36,7 +36,7 @@
   double grace_to_answer_ms = 20;
   double open_cap = 20000;
 };
-Names parse_names(const nlohmann::json& from);
-Limits parse_limits(const nlohmann::json& from);
+Names parse_names(const nlohmann::json& json);
+Limits parse_limits(const nlohmann::json& json);
 
 } // namespace fernward::config
--- a/src/control/port.h
+++ b/src/control/port.h
@@ -48,7 +48,7 @@
     bool answered = false;
     loop::Deadlines::Ticket ticket = 0;
   };
-  static void accepted(int fd, short, void* self);
+  static void accepted(int listening, short, void* self);
   static void readable(bufferevent*, void* c);
   static void written(bufferevent*, void* c);
   static void changed(bufferevent*, short what, void* c);
--- a/src/handover/link.h
+++ b/src/handover/link.h
@@ -96,7 +96,7 @@
   Door& operator=(const Door&) = delete;
 
  private:
-  static void accepted(int fd, short, void* self);
+  static void accepted(int listening, short, void* self);
   static void listen_again(int, short, void* self);
   std::string path_;
   Came came_;
--- a/src/ingress/codec.cpp
+++ b/src/ingress/codec.cpp
@@ -48,8 +48,8 @@
 
 } // namespace
 
-Decoded decode(http::Message request, const Rules& given) {
-  const config::Names& names = given.names;
+Decoded decode(http::Message request, const Rules& rules) {
+  const config::Names& names = rules.names;
   Decoded out;
   const auto fault = [&out](int status, const char* why) {
     out.status = status;
@@ -65,28 +65,28 @@
   exchange::Call& call = out.call;
   call.write = request.method == "PUT";
   call.id = request.header("x-request-id");
-  if (call.id.empty() && !given.make_ids) return fault(400, "no X-Request-ID");
+  if (call.id.empty() && !rules.make_ids) return fault(400, "no X-Request-ID");
   if (!call.id.empty() && (call.id.size() > kMaxId || !http::is_token(call.id)))
     return fault(400, "X-Request-ID");
-  const config::Mapping& unsaid = mapping_of(request, given.map);
+  const config::Mapping& unsaid = mapping_of(request, rules.map);
   const auto cls = std::find(names.classes.begin(), names.classes.end(),
                              or_else(request.header("x-priority-class"), unsaid.cls));
   if (cls == names.classes.end()) return fault(400, "unknown X-Priority-Class");
   call.category = static_cast<std::uint32_t>(cls - names.classes.begin());
-  const fernward::ClassSettings& rules = given.settings.classes[call.category];
+  const fernward::ClassSettings& class_settings = rules.settings.classes[call.category];
   call.repeat_key = request.header("idempotency-key");
-  if (call.write && rules.repeat == fernward::Repeat::Keyed && call.repeat_key.empty()) {
+  if (call.write && class_settings.repeat == fernward::Repeat::Keyed && call.repeat_key.empty()) {
     return fault(400, "no Idempotency-Key");
   }
   // A tenant that the settings do not name has no share.
   call.tenant = static_cast<std::uint32_t>(std::find(names.tenants.begin(), names.tenants.end(),
                                                      or_else(request.header("x-tenant-id"), unsaid.tenant)) -
                                            names.tenants.begin());
-  call.timeout_ms = unsaid.timeout_ms > 0 ? unsaid.timeout_ms : rules.give_up_ms;
+  call.timeout_ms = unsaid.timeout_ms > 0 ? unsaid.timeout_ms : class_settings.give_up_ms;
   const bool has_wait = request.has("x-timeout-ms");
   const std::string_view wait = request.header("x-timeout-ms");
   if (has_wait && !whole_ms(wait, call.timeout_ms)) return fault(400, "X-Timeout-Ms");
-  if (rules.give_up_ms > 0) call.timeout_ms = std::min(call.timeout_ms, rules.give_up_ms);
+  if (class_settings.give_up_ms > 0) call.timeout_ms = std::min(call.timeout_ms, class_settings.give_up_ms);
   call.timeout_ms = std::min(call.timeout_ms, 3600e3);
   double cost_us = 0;
   if (number(request.header("x-cost"), cost_us)) call.work_ms = cost_us / 1000; // a hint: a bad one is none
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -81,8 +81,8 @@
   return std::clamp(1 + kToleranceByAim * (room - 1), 1.2, kMostTolerance);
 }
 
-Sign Limiter::ended(double now, const Sample& given) {
-  Sample s = given;
+Sign Limiter::ended(double now, const Sample& sample) {
+  Sample s = sample;
   if (!usable_number(s.elapsed_ms)) s.elapsed_ms = 0;
   if (!usable_number(s.work_ms)) s.work_ms = 0;
   if (!usable_number(s.aim_ms)) s.aim_ms = 0;
--- a/src/memcache/frame.cpp
+++ b/src/memcache/frame.cpp
@@ -75,30 +75,31 @@
 
 const Command& command(std::uint8_t opcode) { return kTable[opcode]; }
 
-const char* misshapen(const Frame& f) {
-  switch (command(f.opcode).loud) {
+const char* misshapen(const Frame& request) {
+  switch (command(request.opcode).loud) {
     case Opcode::Set:
     case Opcode::Add:
-    case Opcode::Replace: return parts(f, 8, Part::Needed, Part::Any);
+    case Opcode::Replace: return parts(request, 8, Part::Needed, Part::Any);
     case Opcode::Append:
-    case Opcode::Prepend: return parts(f, 0, Part::Needed, Part::Any);
+    case Opcode::Prepend: return parts(request, 0, Part::Needed, Part::Any);
     case Opcode::Increment:
-    case Opcode::Decrement: return parts(f, 20, Part::Needed, Part::None);
+    case Opcode::Decrement: return parts(request, 20, Part::Needed, Part::None);
     case Opcode::Touch:
     case Opcode::Gat:
-    case Opcode::GatK: return parts(f, 4, Part::Needed, Part::None);
+    case Opcode::GatK: return parts(request, 4, Part::Needed, Part::None);
     case Opcode::Get:
     case Opcode::GetK:
-    case Opcode::Delete: return parts(f, 0, Part::Needed, Part::None);
-    case Opcode::Verbosity: return parts(f, 4, Part::None, Part::None);
-    case Opcode::Stat: return parts(f, 0, Part::Any, Part::None);
+    case Opcode::Delete: return parts(request, 0, Part::Needed, Part::None);
+    case Opcode::Verbosity: return parts(request, 4, Part::None, Part::None);
+    case Opcode::Stat: return parts(request, 0, Part::Any, Part::None);
     case Opcode::Flush:
-      return f.extras.size() == 4 ? parts(f, 4, Part::None, Part::None) : parts(f, 0, Part::None, Part::None);
+      return request.extras.size() == 4 ? parts(request, 4, Part::None, Part::None)
+                                        : parts(request, 0, Part::None, Part::None);
     case Opcode::Noop:
-      if (command(f.opcode).does == Does::Unknown) return nullptr; // its shape is not known either
+      if (command(request.opcode).does == Does::Unknown) return nullptr; // its shape is not known either
       [[fallthrough]];
     case Opcode::Quit:
-    case Opcode::Version: return parts(f, 0, Part::None, Part::None);
+    case Opcode::Version: return parts(request, 0, Part::None, Part::None);
     default: return nullptr;
   }
 }
@@ -108,11 +109,11 @@
   return carries ? read32(f.extras.data()) : 0;
 }
 
-std::uint32_t lifetime_of(const Frame& f) {
-  switch (f.extras.size()) {
-    case 4: return read32(f.extras.data());
-    case 8: return read32(f.extras.data() + 4);
-    case 20: return read32(f.extras.data() + 16);
+std::uint32_t lifetime_of(const Frame& request) {
+  switch (request.extras.size()) {
+    case 4: return read32(request.extras.data());
+    case 8: return read32(request.extras.data() + 4);
+    case 20: return read32(request.extras.data() + 16);
     default: return 0;
   }
 }
--- a/src/notation/visitor.h
+++ b/src/notation/visitor.h
@@ -111,6 +111,7 @@
 template <typename T, typename F>
 void each_named(Visitor& v, const char* member, std::vector<T>& items, const char* doc, F fields) {
   std::vector<std::string> names;
+  names.reserve(items.size());
   for (const T& item : items) names.push_back(item.name);
   names = v.named(member, std::move(names), doc);
   items.resize(names.size());
--- a/src/notation/writer.cpp
+++ b/src/notation/writer.cpp
@@ -62,6 +62,7 @@
   }
   void choices(const char* member, std::vector<std::size_t>& values, Words words, const char*) override {
     std::vector<std::string> all;
+    all.reserve(values.size());
     for (const std::size_t value : values) all.push_back(words[value]);
     names(member, all);
   }
@@ -71,6 +72,7 @@
   }
   void refs(const char* member, std::vector<std::uint32_t>& values, Table table, const char*) override {
     std::vector<std::string> all;
+    all.reserve(values.size());
     for (const std::uint32_t value : values) all.push_back(all_names_.name(table, value));
     names(member, all);
   }
--- a/src/setup/keys.cpp
+++ b/src/setup/keys.cpp
@@ -101,6 +101,7 @@
 std::vector<std::string> AppNames::known(Table table) const {
   const auto names = [](const auto& items) {
     std::vector<std::string> all;
+    all.reserve(items.size());
     for (const auto& item : items) all.push_back(item.name);
     return all;
   };
--- a/src/setup/read.cpp
+++ b/src/setup/read.cpp
@@ -83,6 +83,7 @@
   const auto is = [&](const Profile& p) { return p.name == name; };
   if (name.empty() || std::any_of(all.begin(), all.end(), is)) return name;
   std::vector<std::string> names;
+  names.reserve(all.size());
   for (const Profile& p : all) names.push_back(p.name);
   const std::string near = notation::nearest(name, names);
   setup.faults.push_back(
--- a/src/sidecar/beside.cpp
+++ b/src/sidecar/beside.cpp
@@ -203,6 +203,7 @@
       for (const std::string& entry : programs_.environment) putenv(const_cast<char*>(entry.c_str()));
     }
     std::vector<char*> argv;
+    argv.reserve(command.size() + 1);
     for (const std::string& word : command) argv.push_back(const_cast<char*>(word.c_str()));
     argv.push_back(nullptr);
     execvp(argv[0], argv.data());
