ingress: the listener in four files: accepting, requests, answers, closing

It keeps the listening socket, connections as they come and the replacing of the process; requests.cpp reads, answers.cpp writes, closing.cpp ends. Moves only, with some private names made plain (takes: client_takes, room for a connection: place_for_connection, settle: settle_output, relieve: close_rested) and a comment on each private function that needs one, listed in the header by the file that defines it.

--- /dev/null
+++ b/src/ingress/closing.cpp
@@ -0,0 +1,166 @@
+// The ends of client connections: limits of time, those closed to make room, lingering, and what is passed on.
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "ingress/codec.h"
+#include "ingress/listener.h"
+#include "log/log.h"
+
+namespace fernward::ingress {
+
+using loop::Handle;
+using loop::now_ms;
+
+namespace {
+
+constexpr double kPendingInputMs = 10; // for what has come, or been read, to be worked on by the loop
+constexpr double kWatchPlacesMs = 250; // while places are short, without an answer that asks
+constexpr int kMostClosedAtOnce = 4;   // connections closed at once for want of places
+
+} // namespace
+
+// ---- making room ----
+
+// Nothing is due on it: no request is on its way in the socket either.
+bool Listener::spareable(Handle handle) {
+  Connection* c = connections_.find(handle);
+  if (c == nullptr) return false;
+  if (c->state == Connection::State::Lingering) return true;
+  return loop::pending_input(c->io.get()).empty() &&
+         loop::peek(bufferevent_getfd(c->io.get())) != loop::Peek::Data;
+}
+
+bool Listener::let_go(const char* code) {
+  const auto spare = clients_.spare(now_ms(), [this](Handle handle) { return spareable(handle); });
+  if (!spare) return false;
+  close(*connections_.find(*spare), code);
+  return true;
+}
+
+// While places are short, those that have rested long and are not expected back are closed.
+void Listener::close_rested() {
+  const double now = now_ms();
+  for (int i = 0; i < kMostClosedAtOnce; ++i) {
+    const auto id = clients_.overdue(now);
+    if (!id || !spareable(*id)) break;
+    close(*connections_.find(*id), "rested-long");
+  }
+  watch_places();
+}
+
+// Where clients hold all the places that they may, no request comes whose answer could end a connection.
+void Listener::watch_places() {
+  if (watch_ != 0 || stopped_ || !clients_.tight()) return;
+  watch_ = deadlines_.at(now_ms() + kWatchPlacesMs, [this] {
+    watch_ = 0;
+    close_rested();
+  });
+}
+
+// ---- the client ends, or its time is over ----
+
+// The end of a connection on which nothing more is to be said. What comes from now on is read and dropped until the
+// client ends it too: closed over unread bytes, a request that crosses the end would become a reset, which may take
+// with it what the client has not read yet. Only a place that is needed at once is taken without this, see let_go().
+void Listener::linger(Connection& c, const char* code) {
+  c.state = Connection::State::Lingering;
+  c.code = code;
+  clients_.lingers(now_ms(), c.self);
+  shutdown(bufferevent_getfd(c.io.get()), SHUT_WR);
+  limit(c, options_.linger_ms, code);
+}
+
+void Listener::connection_event(Connection& c, short what) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
+  const bool reset = (what & BEV_EVENT_ERROR) != 0;
+  c.peer_closed = true;
+  switch (c.state) {
+    case Connection::State::Waiting:
+    case Connection::State::Passing: {
+      const Handle exchange = std::exchange(c.exchange, 0);
+      if (c.inflow != nullptr) c.inflow->cut(); // in the middle of a body that already flows
+      close(c, c.inflow != nullptr ? "request-cut" : "client-gone");
+      return calls_.gone(exchange);
+    }
+    case Connection::State::Closing:
+      if (reset) return close(c, "answer-cut");
+      return;
+    case Connection::State::Lingering: return close(c, c.code);
+    default: return close(c, c.parser.begun() ? "request-cut" : reset ? "reset" : "client-closed");
+  }
+}
+
+void Listener::limit(Connection& c, double ms, const char* code) {
+  deadlines_.cancel(c.ticket);
+  c.ticket = deadlines_.at(now_ms() + ms, [this, handle = c.self, code] {
+    Connection* late = connections_.find(handle);
+    if (late == nullptr) return;
+    late->ticket = 0;
+    if (late->state == Connection::State::Closing && client_takes(*late))
+      return limit(*late, options_.write_ms / 4, code);
+    if (late->state == Connection::State::Reading && late->parser.begun()) {
+      // A body may take its time as long as it comes.
+      const double come = static_cast<double>(late->parser.message().body.size());
+      const double due = late->head_at + options_.body_ms + come / options_.body_rate;
+      if (late->head_at > 0 && now_ms() < due) return limit(*late, due - now_ms(), code);
+      return reply(*late, encode_fault(408, "too slow"), false, "request-timeout");
+    }
+    if (late->state != Connection::State::Reading) return close(*late, code);
+    spareable(handle) ? linger(*late, code) : limit(*late, kPendingInputMs, code);
+  });
+}
+
+// Between requests, from an answer on: first the client has to take that answer.
+void Listener::limit_rest(Connection& c, double when) {
+  deadlines_.cancel(c.ticket);
+  c.ticket = deadlines_.at(when, [this, handle = c.self] {
+    Connection* late = connections_.find(handle);
+    if (late == nullptr) return;
+    late->ticket = 0;
+    if (loop::pending_output(late->io.get()) > 0) {
+      return client_takes(*late) ? limit_rest(*late, now_ms() + options_.write_ms / 4)
+                                 : close(*late, "stalled");
+    }
+    const double idle_at = late->answered_at + options_.idle_ms;
+    if (now_ms() < idle_at) return limit_rest(*late, idle_at);
+    // A request that has come in this very moment is worked on before its connection ends.
+    spareable(handle) ? linger(*late, "idle") : limit_rest(*late, now_ms() + kPendingInputMs);
+  });
+}
+
+void Listener::close(Connection& c, const char* code) {
+  log::routine("ingress-ended", {{"code", code}, {"requests", c.requests}, {"ms", now_ms() - c.opened_at}});
+  deadlines_.cancel(c.ticket);
+  deadlines_.cancel(c.end_check);
+  // A client that leaves, or asked for the end, makes room of itself.
+  const bool left = c.peer_closed || !c.keep_alive;
+  clients_.gone(now_ms(), c.self, left ? budget::Clients::Gone::Left : budget::Clients::Gone::Closed);
+  connections_.remove(c.self);
+  resume();
+  if (stopped_ && connections_.size() == 0) calls_.emptied();
+}
+
+// ---- passing a connection on ----
+
+// Nothing of a request has been read, and nothing of an answer waits: all that there is of it is in the socket.
+bool Listener::rests(Connection& c) {
+  return c.state == Connection::State::Reading && !c.parser.begun() &&
+         loop::pending_input(c.io.get()).empty() && loop::pending_output(c.io.get()) == 0;
+}
+
+bool Listener::pass_on(Connection& c) {
+  if (!rests(c)) return false;
+  const int fd = bufferevent_getfd(c.io.get());
+  bufferevent_disable(c.io.get(), EV_READ | EV_WRITE); // else its event would outlive the descriptor here
+  if (!pass_(fd, c.requests)) {
+    bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
+    return false;
+  }
+  bufferevent_setfd(c.io.get(), -1);
+  close(c, "passed-on");
+  return true;
+}
+
+} // namespace fernward::ingress
--- a/src/ingress/listener.h
+++ b/src/ingress/listener.h
@@ -1,4 +1,5 @@
 // The client's side: the listening socket, client connections, /ready, and answers on their way out.
+// Defined by concern in listener.cpp, requests.cpp, answers.cpp and closing.cpp.
 #pragma once
 
 #include <event2/listener.h>
@@ -90,6 +91,8 @@
   std::size_t connections() const { return connections_.size(); }
 
  private:
+  static constexpr std::size_t kMostInput = 16 * 1024; // read ahead of the request that is worked on
+
   struct Connection {
     Connection(budget::Buffers& buffers, bodies::Account& bytes, std::uint64_t most_body)
         : request(buffers), out(bytes), parser(http::Kind::Request, most_body) {}
@@ -118,58 +121,64 @@
     std::size_t drained = 0;              // bytes thrown away since the last answer
     double opened_at = 0, answered_at = 0;
     loop::Deadlines::Ticket ticket = 0;
-    loop::Deadlines::Ticket look = 0; // for the client's end, while nothing is read
+    loop::Deadlines::Ticket end_check = 0; // for the client's end, while nothing is read
     const char* code = "";
   };
   struct ListenerFree {
     void operator()(evconnlistener* l) const { evconnlistener_free(l); }
   };
 
+  // ---- listener.cpp: the listening socket, and connections as they come ----
+  void listen(); // throws std::runtime_error
   static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
   static void accept_failed(evconnlistener*, void* self);
+  void pause(double ms); // accepts nothing for so long
+  void resume();
+  budget::Account::Place place_for_connection(); // none: all are taken, and no connection can be spared
+  void accept(int fd);
+  Connection& join(int fd, budget::Account::Place place); // a connection from its descriptor
+  bool may_accept();                                      // there is a place for one more
+
+  // ---- requests.cpp: what is read ----
   static void readable(bufferevent*, void* c);
   static void written(bufferevent*, void* c);
   static void changed(bufferevent*, short what, void* c);
-
-  void accept(int fd);
-  budget::Account::Place room();
-  bool may_accept();
-  bool spareable(loop::Handle handle);
-  void relieve();
-  void watch_places();
-  void read(Connection& c);
+  void read(Connection& c); // works on what has come, as far as the connection's state lets it
   void pause_reading(Connection& c);
   void read_on(Connection& c);
   void look_for_end(Connection& c);
-  void listen();
+  void go_ahead(Connection& c);                      // answers Expect: 100-continue
+  void handle(Connection& c, http::Message request); // one that has come whole
   Decoded decode(http::Message request);
   bool admit(Connection& c, Decoded& decoded, bool whole); // false: it has been turned away
-  void open(Connection& c, exchange::Call call);
+  void open(Connection& c, exchange::Call call);           // passes the call on to the router
+  void turn_away(Connection& c, int status, const char* text, const char* code);
   void begin_body(Connection& c);
   void read_body(Connection& c);
-  void flow(Connection& c);
-  void turn_away(Connection& c, int status, const char* text, const char* code);
+  void flow(Connection& c); // opens the call as soon as its body may flow
   void limit_body(Connection& c);
-  void go_ahead(Connection& c);
+
+  // ---- answers.cpp: what is written ----
   void drop_body(Connection& c);
-  void handle(Connection& c, http::Message request);
+  bool connection_stays(Connection& c, const char*& code);
   void reply(Connection& c, const std::string& text, bool keep_alive, const char* code);
-  void replied(Connection& c, bool keep_alive, const char* code);
-  bool keeps(Connection& c, const char*& code);
-  void settle(Connection& c);
+  void replied(Connection& c, bool keep_alive, const char* code); // sets the state after an answer
+  void settle_output(Connection& c); // gives back to the account what the client has taken
   void limit_taking(Connection& c);
-  bool takes(Connection& c);
-  void flushed(Connection& c);
-  void event(Connection& c, short what);
-  void limit(Connection& c, double ms, const char* code);
-  void limit_rest(Connection& c, double when);
-  void linger(Connection& c, const char* code);
+  bool client_takes(Connection& c); // it has taken some of a waiting answer lately
+  void flushed(Connection& c);      // the output is empty, or below its watermark
+
+  // ---- closing.cpp: connections as they end ----
+  bool spareable(loop::Handle handle); // nothing is due on it
+  void close_rested();
+  void watch_places();
+  void linger(Connection& c, const char* code); // shuts it for sending, and waits for the client's end
+  void connection_event(Connection& c, short what);
+  void limit(Connection& c, double ms, const char* code); // ends it with this code after so long
+  void limit_rest(Connection& c, double when);            // ends it once it has been idle for too long
   void close(Connection& c, const char* code);
-  void pause(double ms);
-  void resume();
-  Connection& join(int fd, budget::Account::Place place);
-  bool rests(Connection& c);
-  bool pass_on(Connection& c);
+  bool rests(Connection& c);   // between requests, with nothing read or waiting
+  bool pass_on(Connection& c); // to the process that replaces this one; false: it stays
 
   event_base* base_;
   loop::Deadlines& deadlines_;
