Judge each entry of discovery's list by itself: a drain beside a damaged one is heard

Seen: one entry with an address that can't be parsed, a null weight or no status voided the whole message each time it was asked for, in whole lists and in changes. The drains beside it were heard by no process, and requests went on to servers that drained or had gone.

Root cause: Table::apply read all entries before it took any, and Table::parse threw Damaged (or json::exception) for any field; `from.at("endpoints")` also took null for an empty list, which emptied the table, and an object for an array. Table::place let the lesser of two names with one number have it whatever its state: its drain, even as a name that the table did not know, ended or took from service the other one, which came back with the next whole list at the earliest. told_ was kept by number, so that the text told on could be that of the other name.

Mended: endpoint.{h,cpp} reads one entry into a typed result (sound, repaired, draining, dropped); target_set.{h,cpp} holds the targets by number, with those that wait for theirs. The envelope is checked strictly. An answer with an index below `at_least` throws Stale and changes nothing.

--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -1,118 +1,190 @@
 #include "routes/table.h"
 
 #include <algorithm>
-#include <cmath>
 #include <nlohmann/json.hpp>
+#include <unordered_map>
 #include <utility>
 
-#include "config/address.h"
 #include "config/json.h"
 #include "log/log.h"
 
 namespace fernward::routes {
+namespace {
 
 using fernward::ListKind;
 using fernward::ServerState;
 using nlohmann::json;
+using Outcome = EndpointReading::Outcome;
 
-std::uint64_t hash_of(const std::string& text) { // FNV-1a, then splitmix64's finisher to spread short names
-  std::uint64_t h = 0xcbf29ce484222325ull;
-  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
-  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ull;
-  h = (h ^ (h >> 27)) * 0x94d049bb133111ebull;
-  return h ^ (h >> 31);
+struct Envelope {
+  std::uint64_t index = 0;
+  bool whole = false;
+  const json& endpoints;
+};
+
+const json& field(const json& message, const char* key) {
+  const auto found = message.find(key);
+  if (found == message.end()) throw Damaged(std::string("no ") + key);
+  return *found;
+}
+
+Envelope read_envelope(const json& message) {
+  if (!message.is_object()) throw Damaged("not an object");
+  const json& index = field(message, "index");
+  if (!index.is_number_integer() || index < 0) throw Damaged("index: no whole number from 0");
+  const json& whole = field(message, "snapshot");
+  if (!whole.is_boolean()) throw Damaged("snapshot: neither true nor false");
+  const json& endpoints = field(message, "endpoints");
+  if (!endpoints.is_array()) throw Damaged("endpoints: no array");
+  return {index.get<std::uint64_t>(), whole.get<bool>(), endpoints};
 }
 
-fernward::ServerId id_of(const std::string& name) {
-  return static_cast<fernward::ServerId>(hash_of(name) >> 32);
+// What changes do to the targets of the module: each number once, as it is after all of them.
+class ChangedServers {
+ public:
+  void add(const fernward::Server& server) {
+    const auto [it, added] = positions_.try_emplace(server.id, servers_.size());
+    if (added) {
+      servers_.push_back(server);
+    } else {
+      servers_[it->second] = server;
+    }
+  }
+
+  std::vector<fernward::Server> take(const TargetSet& targets) {
+    for (fernward::Server& server : servers_) {
+      const Target* holder = targets.holder(server.id);
+      if (holder != nullptr) {
+        server = holder->entry;
+      } else {
+        server.state = ServerState::Gone;
+      }
+    }
+    return std::move(servers_);
+  }
+
+ private:
+  std::vector<fernward::Server> servers_;
+  std::unordered_map<fernward::ServerId, std::size_t> positions_;
+};
+
+} // namespace
+
+void Table::Damage::add(const EndpointReading& reading) {
+  if (reading.outcome == Outcome::Sound) return;
+  if (!any()) {
+    first = reading.target.name;
+    why = reading.fault;
+  }
+  dropped += reading.outcome == Outcome::Dropped;
+  draining += reading.outcome == Outcome::Draining;
+  repaired += reading.outcome == Outcome::Repaired;
 }
 
-std::uint32_t index_of(const std::string& name, const std::vector<std::string>& names) {
-  const auto found = std::find(names.begin(), names.end(), name);
-  if (found != names.end()) return static_cast<std::uint32_t>(found - names.begin());
-  return static_cast<std::uint32_t>(names.size() + (hash_of(name) >> 34));
+fernward::ServerList Table::apply(const std::string& text, std::uint64_t at_least) {
+  const json message = config::parse_json(text);
+  if (message.is_discarded()) throw Damaged("not JSON, or nested too deeply");
+  return apply(message, at_least);
 }
 
-Target Table::parse(const json& from) const {
-  Target target;
-  from.at("name").get_to(target.name);
-  from.at("address").get_to(target.address);
-  const auto status = from.at("status").get<std::string>();
-  // An unknown word gets the careful meaning: nothing new is sent there.
-  target.entry.state = status == "in_service"   ? ServerState::Ready
-                       : status == "terminated" ? ServerState::Gone
-                                                : ServerState::Draining;
-  if (target.name.empty()) throw Damaged("an endpoint without a name");
-  if (!config::parse_address(target.address, target.where) && target.entry.state != ServerState::Gone) {
-    throw Damaged("endpoint " + target.name + ": no address: " + target.address);
+fernward::ServerList Table::apply(const json& message, std::uint64_t at_least) {
+  const Envelope envelope = read_envelope(message);
+  if (envelope.index < at_least) {
+    throw Stale("stale: index " + std::to_string(envelope.index) + " after " + std::to_string(at_least));
   }
-  target.entry.id = id_of(target.name);
-  target.entry.zone = index_of(from.value("zone", ""), zones_);
-  target.entry.kind = index_of(from.value("type", ""), kinds_);
-  const json group = from.value("group", json(0));
-  target.entry.cell = group.is_number_unsigned() ? group.get<std::uint32_t>() : index_of(group.dump(), {});
-  target.entry.weight = from.value("weight", 1.0);
-  target.entry.booted_at = from.value("since_ms", 0.0);
-  return target;
+  auto list = envelope.whole ? replace(envelope.endpoints) : change(envelope.endpoints);
+  index_ = envelope.index;
+  return list;
 }
 
-// Two names with one number would share a cache node's connections: at every router the lesser name has it.
-bool Table::place(const Target& target, std::map<fernward::ServerId, Target>& into) const {
-  const auto [it, added] = into.try_emplace(target.entry.id, target);
-  if (!added && it->second.name != target.name) {
-    log::line("route-number-shared", // the lesser name keeps it
-              {{"a", target.name}, {"b", it->second.name}, {"number", target.entry.id}});
-    if (it->second.name < target.name) return false;
+// What the table knows of a server stands in for what is damaged of its entry, so it stays until the new one is whole.
+fernward::ServerList Table::replace(const json& endpoints) {
+  Contents next;
+  Damage damage;
+  std::set<std::string> ended; // by this message: what was known of them counts no more
+  const auto find_last = [this, &next, &ended](const std::string& name) {
+    const Target* in_message = next.targets.find(name);
+    if (in_message != nullptr || ended.contains(name)) return in_message;
+    return contents_.targets.find(name);
+  };
+  for (const json& entry : endpoints) {
+    const EndpointReading reading = reader_.read(entry, find_last);
+    damage.add(reading);
+    if (reading.outcome == Outcome::Dropped) continue;
+    if (reading.target.entry.state == ServerState::Gone) ended.insert(reading.target.name);
+    put(reading, entry, next);
   }
-  it->second = target;
-  return true;
+  if (!endpoints.empty() && damage.dropped + damage.draining == endpoints.size()) {
+    throw Damaged("none of " + std::to_string(endpoints.size()) +
+                  " entries is sound, the first: " + damage.first + ": " + damage.why);
+  }
+  contents_ = std::move(next);
+  report(damage);
+  fernward::ServerList list;
+  list.kind = ListKind::Full;
+  for (const auto& [id, target] : targets()) list.servers.push_back(target.entry);
+  return list;
 }
 
-fernward::ServerList Table::apply(const std::string& text) {
-  const json from = config::parse_json(text);
-  if (from.is_discarded()) throw Damaged("not JSON, or nested too deeply");
-  return apply(from);
+fernward::ServerList Table::change(const json& endpoints) {
+  Damage damage;
+  ChangedServers changed;
+  const auto find_last = [this](const std::string& name) { return contents_.targets.find(name); };
+  for (const json& entry : endpoints) {
+    const EndpointReading reading = reader_.read(entry, find_last);
+    damage.add(reading);
+    if (reading.outcome == Outcome::Dropped) continue;
+    put(reading, entry, contents_);
+    changed.add(reading.target.entry);
+  }
+  report(damage);
+  fernward::ServerList list;
+  list.kind = ListKind::Delta;
+  list.servers = changed.take(contents_.targets);
+  return list;
 }
 
-fernward::ServerList Table::apply(const json& from) {
-  try {
-    const auto index = from.at("index").get<std::uint64_t>();
-    const bool whole = from.at("snapshot").get<bool>();
-    std::vector<Target> entries;
-    std::map<fernward::ServerId, std::string> texts;
-    for (const json& entry : from.at("endpoints")) {
-      entries.push_back(parse(entry));
-      if (keeps_) texts[entries.back().entry.id] = entry.dump(-1, ' ', false, json::error_handler_t::replace);
-    }
-    // All of it is sound: only now does the table change.
-    std::map<fernward::ServerId, Target> targets;
-    if (!whole) targets = targets_;
-    fernward::ServerList list;
-    list.kind = whole ? ListKind::Full : ListKind::Delta;
-    for (const Target& target : entries) {
-      if (place(target, targets) && !whole) list.servers.push_back(target.entry);
-    }
-    std::erase_if(targets, [](const auto& t) { return t.second.entry.state == ServerState::Gone; });
-    if (whole) {
-      for (const auto& [id, target] : targets) list.servers.push_back(target.entry);
-    }
-    targets_ = std::move(targets);
-    if (keeps_) {
-      if (!whole) texts.merge(told_);
-      std::erase_if(texts, [this](const auto& t) { return targets_.count(t.first) == 0; });
-      told_ = std::move(texts);
-    }
-    index_ = index;
-    return list;
-  } catch (const json::exception& error) {
-    throw Damaged(error.what());
+void Table::put(const EndpointReading& reading, const json& entry, Contents& into) const {
+  const Target& target = reading.target;
+  into.targets.put(target);
+  if (!keeps_) return;
+  if (target.entry.state == ServerState::Gone) {
+    into.texts.erase(target.name);
+  } else {
+    into.texts[target.name] = text_of(reading, entry, into);
   }
 }
 
+const std::string* Table::find_text(const Contents& contents, const std::string& name) {
+  const auto found = contents.texts.find(name);
+  return found == contents.texts.end() ? nullptr : &found->second;
+}
+
+std::string Table::text_of(const EndpointReading& reading, const json& entry,
+                           const Contents& contents) const {
+  const auto write = [](const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  };
+  if (reading.outcome == Outcome::Sound) return write(entry);
+  const std::string* last = find_text(contents, reading.target.name);
+  if (last == nullptr) last = find_text(contents_, reading.target.name);
+  return write(repaired_entry(entry, reading.target, last == nullptr ? json() : config::parse_json(*last)));
+}
+
+void Table::report(const Damage& damage) {
+  if (!damage.any()) return;
+  dropped_entries_ += damage.dropped;
+  log::line("list-entries-damaged", {{"dropped", damage.dropped},
+                                     {"draining", damage.draining},
+                                     {"repaired", damage.repaired},
+                                     {"first", damage.first},
+                                     {"why", damage.why}});
+}
+
 std::string Table::told() const {
   std::string out = "{\"index\":" + std::to_string(index_) + ",\"snapshot\":true,\"endpoints\":[";
   bool first = true;
-  for (const auto& [id, text] : told_) {
+  for (const auto& [name, text] : contents_.texts) {
     if (!std::exchange(first, false)) out += ',';
     out += text;
   }
@@ -120,7 +192,7 @@
 }
 
 bool Table::usable() const {
-  return std::any_of(targets_.begin(), targets_.end(),
+  return std::any_of(targets().begin(), targets().end(),
                      [](const auto& t) { return t.second.entry.state == ServerState::Ready; });
 }
 
--- a/src/routes/table.h
+++ b/src/routes/table.h
@@ -1,16 +1,17 @@
 // The route table: discovery's list by name, with the numbers that the module knows it under.
 #pragma once
 
-#include <netinet/in.h>
-
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "fernward/choice.h"
+#include "routes/endpoint.h"
+#include "routes/target_set.h"
 
 namespace fernward::routes {
 
@@ -18,42 +19,56 @@
   using std::runtime_error::runtime_error;
 };
 
-struct Target {
-  std::string name, address;
-  sockaddr_in where{};
-  fernward::Server entry;
+struct Stale : Damaged { // a sound answer from before what is known already; the table is as before
+  using Damaged::Damaged;
 };
 
-// The same at every router and after every restart: they depend on the name alone.
-fernward::ServerId id_of(const std::string& name);
-// A position in the settings' list, or for a name that is not there one beyond it.
-std::uint32_t index_of(const std::string& name, const std::vector<std::string>& names);
-std::uint64_t hash_of(const std::string& text);
-
 class Table {
  public:
   // `keeps`: what was told can be told on, see told().
   Table(std::vector<std::string> zones, std::vector<std::string> kinds, bool keeps = false)
-      : zones_(std::move(zones)), kinds_(std::move(kinds)), keeps_(keeps) {}
+      : reader_(std::move(zones), std::move(kinds)), keeps_(keeps) {}
 
-  // Takes a whole list or changes, in discovery's form; throws Damaged. The result is for the module.
-  fernward::ServerList apply(const std::string& text);
-  fernward::ServerList apply(const nlohmann::json& from);
+  // Takes a whole list or changes, in discovery's form. The result is for the module. Each entry is judged by itself, see
+  // EndpointReading; what is damaged of them is told in one line of the log. Throws Damaged where the message is none, or
+  // a whole list that has entries and none that tells its server's state; throws Stale where its index is below `at_least`.
+  fernward::ServerList apply(const std::string& text, std::uint64_t at_least = 0);
+  fernward::ServerList apply(const nlohmann::json& message, std::uint64_t at_least = 0);
 
   std::string told() const; // the whole list, in discovery's form, where it is kept
   std::uint64_t index() const { return index_; }
-  const std::map<fernward::ServerId, Target>& targets() const { return targets_; }
+  const std::map<fernward::ServerId, Target>& targets() const { return contents_.targets.holders(); }
   bool usable() const; // some target is in service
+  std::uint64_t dropped_entries() const {
+    return dropped_entries_;
+  } // of messages that were taken, since the start
 
  private:
-  Target parse(const nlohmann::json& from) const;
-  bool place(const Target& target, std::map<fernward::ServerId, Target>& into) const;
+  struct Contents {
+    TargetSet targets;
+    std::map<std::string, std::string> texts; // by name, as discovery wrote it; where they are kept
+  };
+  struct Damage { // of the entries of one message
+    std::size_t dropped = 0, draining = 0, repaired = 0;
+    std::string first, why;
+
+    void add(const EndpointReading& reading);
+    bool any() const { return dropped + draining + repaired > 0; }
+  };
+
+  fernward::ServerList replace(const nlohmann::json& endpoints);
+  fernward::ServerList change(const nlohmann::json& endpoints);
+  void put(const EndpointReading& reading, const nlohmann::json& entry, Contents& into) const;
+  static const std::string* find_text(const Contents& contents, const std::string& name);
+  std::string text_of(const EndpointReading& reading, const nlohmann::json& entry,
+                      const Contents& contents) const;
+  void report(const Damage& damage);
 
-  std::vector<std::string> zones_, kinds_;
+  EndpointReader reader_;
   bool keeps_;
-  std::map<fernward::ServerId, Target> targets_;
-  std::map<fernward::ServerId, std::string> told_; // of each target, as discovery wrote it
+  Contents contents_;
   std::uint64_t index_ = 0;
+  std::uint64_t dropped_entries_ = 0;
 };
 
 } // namespace fernward::routes
--- /dev/null
+++ b/src/routes/target_set.cpp
@@ -0,0 +1,67 @@
+#include "routes/target_set.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "log/log.h"
+
+namespace fernward::routes {
+namespace {
+
+using fernward::ServerState;
+
+// Of two with one number, which one has it? The same at every router: the drain of one must not take the other from
+// service, and of two in service the lesser name has it.
+bool goes_before(const Target& a, const Target& b) {
+  const bool a_serves = a.entry.state == ServerState::Ready;
+  const bool b_serves = b.entry.state == ServerState::Ready;
+  return a_serves != b_serves ? a_serves : a.name < b.name;
+}
+
+} // namespace
+
+const Target* TargetSet::holder(fernward::ServerId id) const {
+  const auto found = holders_.find(id);
+  return found == holders_.end() ? nullptr : &found->second;
+}
+
+const Target* TargetSet::find(const std::string& name) const {
+  const fernward::ServerId id = id_of(name);
+  const Target* held = holder(id);
+  if (held != nullptr && held->name == name) return held;
+  const auto [first, last] = waiting_.equal_range(id);
+  const auto found =
+      std::find_if(first, last, [&name](const auto& item) { return item.second.name == name; });
+  return found == last ? nullptr : &found->second;
+}
+
+void TargetSet::put(const Target& target) {
+  const fernward::ServerId id = target.entry.id;
+  const auto [it, added] = holders_.try_emplace(id, target);
+  if (it->second.name != target.name || waiting_.contains(id)) return contend(target);
+  if (target.entry.state == ServerState::Gone) {
+    holders_.erase(it);
+  } else if (!added) {
+    it->second = target;
+  }
+}
+
+// Takes all with this number out, and puts them back with the new one in its order.
+void TargetSet::contend(const Target& target) {
+  const fernward::ServerId id = target.entry.id;
+  std::vector<Target> contenders;
+  contenders.push_back(std::move(holders_.extract(id).mapped()));
+  while (auto waiting = waiting_.extract(id)) contenders.push_back(std::move(waiting.mapped()));
+  std::erase_if(contenders, [&target](const Target& other) { return other.name == target.name; });
+  if (target.entry.state != ServerState::Gone) contenders.push_back(target);
+  if (contenders.empty()) return;
+  std::sort(contenders.begin(), contenders.end(), goes_before);
+  if (contenders.size() > 1) {
+    log::line("route-number-shared", {{"a", contenders[0].name}, {"b", contenders[1].name}, {"number", id}});
+  }
+  for (std::size_t i = 1; i < contenders.size(); ++i) waiting_.emplace(id, std::move(contenders[i]));
+  holders_.emplace(id, std::move(contenders[0]));
+}
+
+} // namespace fernward::routes
--- /dev/null
+++ b/src/routes/target_set.h
@@ -0,0 +1,31 @@
+// The targets that discovery lists, by number. A number is a hash of the name, so that two names may have the same one:
+// it belongs to one of them at a time, and the others wait until that one drains or is gone.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "fernward/choice.h"
+#include "routes/endpoint.h"
+
+namespace fernward::routes {
+
+class TargetSet {
+ public:
+  // Adds the target or takes the place of the one of its name; a target that is Gone only ends that one.
+  void put(const Target& target);
+
+  const Target* find(const std::string& name) const; // also one that waits; null: none
+  const Target* holder(fernward::ServerId id) const; // null: none
+  const std::map<fernward::ServerId, Target>& holders() const {
+    return holders_;
+  } // of each number its holder
+
+ private:
+  void contend(const Target& target);
+
+  std::map<fernward::ServerId, Target> holders_;
+  std::multimap<fernward::ServerId, Target> waiting_; // for their number; its holder has another name
+};
+
+} // namespace fernward::routes
--- /dev/null
+++ b/tests/net/route_table_test.cpp
@@ -0,0 +1,566 @@
+// The route table: what of a message from discovery counts where parts of it are damaged, and whose number is whose.
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peers.h"
+#include "routes/table.h"
+
+using namespace fernward;
+using namespace fernward::tests;
+using fernward::ServerState;
+
+namespace {
+
+constexpr bool kWhole = true;
+constexpr bool kChanges = false;
+
+Json without(Json entry, const char* field) {
+  entry.erase(field);
+  return entry;
+}
+
+Json with(Json entry, const char* field, Json value) {
+  entry[field] = std::move(value);
+  return entry;
+}
+
+const routes::Target* find(const routes::Table& table, const std::string& name) {
+  for (const auto& [id, target] : table.targets()) {
+    if (target.name == name) return &target;
+  }
+  return nullptr;
+}
+
+const routes::Target& target(const routes::Table& table, const std::string& name) {
+  const routes::Target* found = find(table, name);
+  if (found == nullptr) throw std::logic_error("the table has no " + name);
+  return *found;
+}
+
+std::optional<ServerState> state_of(const routes::Table& table, const std::string& name) {
+  const routes::Target* found = find(table, name);
+  if (found == nullptr) return std::nullopt;
+  return found->entry.state;
+}
+
+// What the decision module is told of a server: the last entry with its number.
+std::optional<ServerState> told_of(const ServerList& list, const std::string& name) {
+  std::optional<ServerState> state;
+  for (const Server& server : list.servers) {
+    if (server.id == routes::id_of(name)) state = server.state;
+  }
+  return state;
+}
+
+// A server as a follower of the whole protocol would know it: fed with each list, as router and module are.
+class Follower {
+ public:
+  void take(const ServerList& list) {
+    if (list.kind == ListKind::Full) servers_.clear();
+    for (const Server& server : list.servers) {
+      servers_[server.id] = server.state;
+      if (server.state == ServerState::Gone) servers_.erase(server.id);
+    }
+  }
+  bool agrees(const routes::Table& table) const {
+    std::map<ServerId, ServerState> states;
+    for (const auto& [id, target] : table.targets()) states[id] = target.entry.state;
+    return states == servers_;
+  }
+
+ private:
+  std::map<ServerId, ServerState> servers_;
+};
+
+routes::Table table_of(const std::vector<Json>& endpoints) {
+  routes::Table table({"a", "b"}, {"cache", "origin"}, true);
+  table.apply(node_list(3, kWhole, endpoints).dump()); // as discovery sends it: numbers without a sign
+  return table;
+}
+
+routes::Table table_of_two() {
+  return table_of({endpoint("x", "127.0.0.1:1"), endpoint("y", "127.0.0.1:2")});
+}
+
+// Two names with one number, the lesser first; found by search: a birthday among 2^17 names.
+const std::pair<std::string, std::string>& names_with_one_number() {
+  static const auto found = [] {
+    std::map<ServerId, std::string> taken;
+    for (int i = 0;; ++i) {
+      const std::string name = "s-" + std::to_string(i);
+      const auto [it, added] = taken.emplace(routes::id_of(name), name);
+      if (!added) return std::pair(std::min(it->second, name), std::max(it->second, name));
+    }
+  }();
+  return found;
+}
+
+// Damage of one entry, and what is left of it.
+std::vector<Json> unreadable_entries() {
+  return {Json(nullptr),
+          Json(7),
+          Json("y"),
+          Json::array(),
+          Json::object(),
+          without(endpoint("y", "127.0.0.1:2"), "name"),
+          with(endpoint("y", "127.0.0.1:2"), "name", nullptr),
+          with(endpoint("y", "127.0.0.1:2"), "name", 7),
+          endpoint("", "127.0.0.1:2")};
+}
+
+std::vector<Json> doubtful_entries(const std::string& name) {
+  return {without(endpoint(name, "127.0.0.1:9"), "status"),
+          with(endpoint(name, "127.0.0.1:9"), "status", nullptr),
+          with(endpoint(name, "127.0.0.1:9"), "status", Json::array({"in_service"})),
+          without(endpoint(name, "127.0.0.1:9"), "address"),
+          with(endpoint(name, "127.0.0.1:9"), "address", nullptr),
+          with(endpoint(name, "127.0.0.1:9"), "address", 7),
+          endpoint(name, "nowhere"),
+          endpoint(name, "127.0.0.1:99999"),
+          endpoint(name, "")};
+}
+
+} // namespace
+
+TEST_CASE("the route table takes whole lists and changes") {
+  routes::Table table({"a", "b"}, {"cache", "origin"});
+  CHECK_FALSE(table.usable());
+  auto list = table.apply(node_list(3, true, {endpoint("x", "127.0.0.1:1"), endpoint("y", "127.0.0.1:2")}));
+  CHECK(list.kind == fernward::ListKind::Full);
+  CHECK(list.servers.size() == 2);
+  list = table.apply(node_list(4, false, {endpoint("x", "127.0.0.1:1", "terminating")}));
+  CHECK(list.kind == fernward::ListKind::Delta);
+  REQUIRE(list.servers.size() == 1);
+  CHECK(list.servers[0].state == ServerState::Draining);
+  CHECK(list.servers[0].id == routes::id_of("x"));
+  list = table.apply(
+      node_list(5, false, {endpoint("x", "", "terminated"), endpoint("y", "127.0.0.1:2", "odd")}));
+  REQUIRE(list.servers.size() == 2);
+  CHECK(list.servers[0].state == ServerState::Gone);
+  CHECK(list.servers[1].state == ServerState::Draining); // an unknown word: nothing new goes there
+  CHECK(table.targets().size() == 1);
+  CHECK_FALSE(table.usable());
+}
+
+TEST_CASE("a message with a damaged envelope changes nothing") { // guards: half-applied lists
+  routes::Table table = table_of({endpoint("x", "127.0.0.1:1")});
+  const Json sound = node_list(4, kWhole, {endpoint("z", "127.0.0.1:1")});
+  for (const std::string& text : {std::string("<html>"),
+                                  std::string(),
+                                  std::string("{}"),
+                                  std::string("[]"),
+                                  std::string("null"),
+                                  std::string("{\"index\":4"),
+                                  sound.dump() + "x",
+                                  without(sound, "index").dump(),
+                                  with(sound, "index", nullptr).dump(),
+                                  with(sound, "index", "4").dump(),
+                                  with(sound, "index", -4).dump(),
+                                  with(sound, "index", true).dump(),
+                                  without(sound, "snapshot").dump(),
+                                  with(sound, "snapshot", nullptr).dump(),
+                                  with(sound, "snapshot", "true").dump(),
+                                  without(sound, "endpoints").dump(),
+                                  with(sound, "endpoints", nullptr).dump(),
+                                  with(sound, "endpoints", Json::object()).dump(),
+                                  with(sound, "endpoints", Json{{"z", endpoint("z", "127.0.0.1:1")}}).dump(),
+                                  node_list(-4, true, {}).dump() + "x"}) {
+    CAPTURE(text);
+    CHECK_THROWS_AS(table.apply(text), routes::Damaged);
+    CHECK(table.index() == 3);
+    CHECK(table.targets().size() == 1);
+    CHECK(state_of(table, "x") == ServerState::Ready);
+  }
+}
+
+// guards: a table that is emptied by a discovery that writes no entry as it should
+TEST_CASE("a whole list none of whose entries is sound changes nothing") {
+  for (const auto& entries :
+       {std::vector<Json>{endpoint("z", "nowhere")}, std::vector<Json>{Json{{"name", "x"}}},
+        std::vector<Json>{endpoint("x", "nowhere"), Json(nullptr)}, unreadable_entries()}) {
+    routes::Table table = table_of({endpoint("x", "127.0.0.1:1")});
+    const std::string told = table.told();
+    const std::string text = node_list(4, kWhole, entries).dump();
+    CAPTURE(text);
+    CHECK_THROWS_AS(table.apply(text), routes::Damaged);
+    CHECK(table.index() == 3);
+    CHECK(state_of(table, "x") == ServerState::Ready);
+    CHECK(table.told() == told);
+    CHECK(table.dropped_entries() == 0); // the message is refused whole, none of its entries by itself
+  }
+  routes::Table table = table_of({endpoint("x", "127.0.0.1:1")});
+  table.apply(node_list(4, kWhole, {})); // a list that has none says so
+  CHECK(table.targets().empty());
+}
+
+// These two were refused whole before: the sound entry counts now, and the damaged one is told by the counter.
+TEST_CASE("the sound entries beside a damaged one count") {
+  for (const Json& damaged : {endpoint("y", "nowhere"), Json{{"name", "y"}}}) {
+    routes::Table table = table_of({endpoint("x", "127.0.0.1:1")});
+    const auto list = table.apply(node_list(4, kWhole, {endpoint("z", "127.0.0.1:1"), damaged}));
+    CHECK(table.index() == 4);
+    CHECK(list.servers.size() == 1);
+    CHECK(table.targets().size() == 1);
+    CHECK(state_of(table, "z") == ServerState::Ready);
+    CHECK(table.dropped_entries() == 1);
+  }
+}
+
+// guards: drains that no process hears, as long as any other entry is damaged
+TEST_CASE("a drain beside a damaged entry is heard") {
+  std::vector<Json> damaged = unreadable_entries();
+  for (const Json& entry : doubtful_entries("unknown")) damaged.push_back(entry);
+  damaged.push_back(with(endpoint("y", "127.0.0.1:2"), "weight", nullptr));
+  for (const bool whole : {kWhole, kChanges}) {
+    for (const bool damage_first : {false, true}) {
+      for (const char* status : {"terminating", "terminated"}) {
+        for (const Json& entry : damaged) {
+          routes::Table table = table_of_two();
+          const Json drain = endpoint("x", "127.0.0.1:1", status);
+          const std::string text =
+              node_list(4, whole, damage_first ? std::vector{entry, drain} : std::vector{drain, entry})
+                  .dump();
+          CAPTURE(text);
+          ServerList list;
+          REQUIRE_NOTHROW(list = table.apply(text));
+          CHECK(table.index() == 4);
+          CHECK(find(table, "unknown") == nullptr);
+          if (status == std::string("terminating")) {
+            CHECK(state_of(table, "x") == ServerState::Draining);
+            CHECK(told_of(list, "x") == ServerState::Draining);
+          } else {
+            CHECK(find(table, "x") == nullptr);
+            CHECK(told_of(list, "x").value_or(ServerState::Gone) == ServerState::Gone);
+          }
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("entries that can't be read are dropped and counted") {
+  for (const bool whole : {kWhole, kChanges}) {
+    routes::Table table = table_of_two();
+    std::vector<Json> entries = unreadable_entries();
+    entries.push_back(endpoint("x", "127.0.0.1:7"));
+    const auto list = table.apply(node_list(4, whole, entries));
+    CHECK(list.servers.size() == 1);
+    CHECK(target(table, "x").address == "127.0.0.1:7");
+    CHECK((find(table, "y") == nullptr) == whole); // the whole list doesn't name it, changes leave it
+    CHECK(table.dropped_entries() == unreadable_entries().size());
+    table.apply(node_list(5, kChanges, {Json(nullptr)}));
+    CHECK(table.dropped_entries() == unreadable_entries().size() + 1);
+  }
+}
+
+TEST_CASE("a drain counts whatever else of its entry is damaged") {
+  const Json drain = endpoint("x", "127.0.0.1:1", "terminating");
+  const std::vector<Json> damaged = {without(drain, "address"),
+                                     with(drain, "address", nullptr),
+                                     with(drain, "address", "nowhere"),
+                                     with(drain, "zone", 7),
+                                     with(drain, "type", nullptr),
+                                     with(drain, "group", Json::object()),
+                                     with(drain, "weight", nullptr),
+                                     with(drain, "since_ms", "today"),
+                                     Json{{"name", "x"}, {"status", "terminating"}}};
+  for (const bool whole : {kWhole, kChanges}) {
+    for (const Json& entry : damaged) {
+      CAPTURE(entry.dump());
+      routes::Table table = table_of_two();
+      REQUIRE_NOTHROW(table.apply(node_list(4, whole, {entry, endpoint("y", "127.0.0.1:2")})));
+      REQUIRE(find(table, "x") != nullptr);
+      CHECK(state_of(table, "x") == ServerState::Draining);
+      CHECK(target(table, "x").address == "127.0.0.1:1"); // the last sound one
+      CHECK(table.dropped_entries() == 0);
+      const Json gone = with(entry, "status", "terminated");
+      REQUIRE_NOTHROW(table.apply(node_list(5, whole, {gone, endpoint("y", "127.0.0.1:2")})));
+      CHECK(find(table, "x") == nullptr);
+      CHECK(state_of(table, "y") == ServerState::Ready);
+    }
+  }
+}
+
+// guards: drains unheard where discovery writes one field of every entry wrongly
+TEST_CASE("drains count in a whole list every entry of which has a damaged field") {
+  routes::Table table = table_of_two();
+  REQUIRE_NOTHROW(table.apply(node_list(4, kWhole,
+                                        {with(endpoint("x", "127.0.0.1:1", "terminating"), "weight", nullptr),
+                                         with(endpoint("y", "127.0.0.1:2"), "weight", nullptr)})));
+  CHECK(state_of(table, "x") == ServerState::Draining);
+  CHECK(state_of(table, "y") == ServerState::Ready);
+}
+
+TEST_CASE("an entry of a known server without status or address: nothing new is sent there") {
+  for (const bool whole : {kWhole, kChanges}) {
+    for (const Json& entry : doubtful_entries("x")) {
+      CAPTURE(entry.dump());
+      routes::Table table = table_of_two();
+      ServerList list;
+      REQUIRE_NOTHROW(list = table.apply(node_list(4, whole, {entry, endpoint("y", "127.0.0.1:2")})));
+      REQUIRE(find(table, "x") != nullptr);
+      CHECK(state_of(table, "x") == ServerState::Draining);
+      CHECK(told_of(list, "x") == ServerState::Draining);
+      CHECK(target(table, "x").address == "127.0.0.1:1"); // the last sound one
+      CHECK(table.dropped_entries() == 0);
+      table.apply(node_list(5, kChanges, {endpoint("x", "127.0.0.1:5")}));
+      CHECK(state_of(table, "x") == ServerState::Ready); // a sound entry ends it
+      CHECK(target(table, "x").address == "127.0.0.1:5");
+    }
+  }
+}
+
+TEST_CASE("an entry of an unknown server without status or address is dropped") {
+  for (const bool whole : {kWhole, kChanges}) {
+    for (const Json& entry : doubtful_entries("z")) {
+      CAPTURE(entry.dump());
+      routes::Table table = table_of_two();
+      REQUIRE_NOTHROW(table.apply(node_list(4, whole, {entry, endpoint("y", "127.0.0.1:2")})));
+      CHECK(find(table, "z") == nullptr);
+      CHECK(table.dropped_entries() == 1);
+    }
+  }
+}
+
+TEST_CASE("optional fields that can't be read are as they were last, else the defaults") {
+  Json last = endpoint("x", "127.0.0.1:1", "in_service", "origin");
+  last["zone"] = "b";
+  last["group"] = 5;
+  last["weight"] = 2.5;
+  last["since_ms"] = 1000;
+  const Json damaged[] = {with(last, "zone", 7),
+                          with(last, "zone", nullptr),
+                          with(last, "type", Json::array()),
+                          with(last, "group", Json::array()),
+                          with(last, "group", nullptr),
+                          with(last, "weight", "2.5"),
+                          with(last, "weight", nullptr),
+                          with(last, "since_ms", nullptr),
+                          with(last, "since_ms", true)};
+  for (const bool whole : {kWhole, kChanges}) {
+    for (const Json& entry : damaged) {
+      CAPTURE(entry.dump());
+      routes::Table known = table_of({last});
+      REQUIRE_NOTHROW(known.apply(node_list(4, whole, {entry}).dump()));
+      const Server& server = target(known, "x").entry;
+      CHECK(server.state == ServerState::Ready);
+      CHECK(server.zone == 1);
+      CHECK(server.kind == 1);
+      CHECK(server.cell == 5);
+      CHECK(server.weight == 2.5);
+      CHECK(server.booted_at == 1000);
+      CHECK(known.dropped_entries() == 0);
+    }
+    routes::Table unknown = table_of({endpoint("y", "127.0.0.1:2")});
+    Json entry = endpoint("x", "127.0.0.1:1");
+    for (const char* field : {"zone", "type", "group", "weight", "since_ms"}) entry[field] = nullptr;
+    REQUIRE_NOTHROW(unknown.apply(node_list(4, whole, {entry}).dump()));
+    routes::Table plain =
+        table_of({Json{{"name", "x"}, {"address", "127.0.0.1:1"}, {"status", "in_service"}}});
+    const Server& server = target(unknown, "x").entry;
+    const Server& defaults = target(plain, "x").entry;
+    CHECK(server.zone == defaults.zone);
+    CHECK(server.kind == defaults.kind);
+    CHECK(server.cell == defaults.cell);
+    CHECK(server.weight == 1);
+    CHECK(server.booted_at == 0);
+  }
+}
+
+TEST_CASE("a weight that no server can have is the default") {
+  for (const double weight : {-1.0, std::nan(""), std::numeric_limits<double>::infinity(),
+                              -std::numeric_limits<double>::infinity()}) {
+    CAPTURE(weight);
+    routes::Table table = table_of({with(endpoint("x", "127.0.0.1:1"), "weight", 3)});
+    table.apply(node_list(4, kChanges, {with(endpoint("x", "127.0.0.1:1"), "weight", weight)}));
+    CHECK(target(table, "x").entry.weight == 1);
+  }
+}
+
+TEST_CASE("of an entry that is repeated in one message the last one counts") {
+  const Json serving = endpoint("x", "127.0.0.1:1");
+  const Json draining = endpoint("x", "127.0.0.1:1", "terminating");
+  const Json gone = endpoint("x", "127.0.0.1:1", "terminated");
+  for (const bool whole : {kWhole, kChanges}) {
+    CAPTURE(whole);
+    routes::Table table = table_of_two();
+    Follower follower;
+    const auto play = [&](std::uint64_t index, const std::vector<Json>& entries) {
+      Json message = node_list(static_cast<int>(index), whole, entries);
+      if (whole) message["endpoints"].push_back(endpoint("y", "127.0.0.1:2"));
+      const auto list = table.apply(message);
+      std::set<ServerId> ids;
+      for (const Server& server : list.servers) CHECK(ids.insert(server.id).second); // each told once
+      follower.take(list);
+      if (whole) CHECK(follower.agrees(table));
+      return told_of(list, "x");
+    };
+    CHECK(play(4, {serving, draining}) == ServerState::Draining);
+    CHECK(state_of(table, "x") == ServerState::Draining);
+    CHECK(play(5, {draining, serving}) == ServerState::Ready);
+    CHECK(state_of(table, "x") == ServerState::Ready);
+    CHECK(play(6, {serving, gone}).value_or(ServerState::Gone) == ServerState::Gone);
+    CHECK(find(table, "x") == nullptr);
+    CHECK(play(7, {gone, draining}) == ServerState::Draining);
+    CHECK(state_of(table, "x") == ServerState::Draining);
+    // It is known from the entry before, or no longer known as that ended it.
+    CHECK(play(8, {serving, without(serving, "status")}) == ServerState::Draining);
+    CHECK(play(9, {gone, without(serving, "status")}).value_or(ServerState::Gone) == ServerState::Gone);
+    CHECK(find(table, "x") == nullptr);
+  }
+}
+
+TEST_CASE("a server that a whole list names as terminated is not there") {
+  routes::Table table = table_of_two();
+  const auto list = table.apply(
+      node_list(4, kWhole, {endpoint("x", "127.0.0.1:1", "terminated"), endpoint("y", "127.0.0.1:2")}));
+  CHECK(find(table, "x") == nullptr);
+  CHECK_FALSE(told_of(list, "x").has_value()); // a whole list ends what it does not name
+  CHECK(told_of(list, "y") == ServerState::Ready);
+  CHECK(table.told().find("\"x\"") == std::string::npos);
+}
+
+TEST_CASE("an unknown server that is terminated or draining is never in service") {
+  routes::Table table = table_of_two();
+  const auto list = table.apply(
+      node_list(4, kChanges, {endpoint("z", "127.0.0.1:3", "terminated"), endpoint("w", "", "terminating")}));
+  CHECK(find(table, "z") == nullptr);
+  CHECK(told_of(list, "z").value_or(ServerState::Gone) == ServerState::Gone);
+  CHECK(told_of(list, "w") == ServerState::Draining);
+  table.apply(node_list(5, kChanges, {endpoint("w", "nowhere")}));
+  CHECK(state_of(table, "w") == ServerState::Draining); // there is no address that it could be sent to
+  CHECK(table.targets().size() == 3);
+}
+
+TEST_CASE("a draining server may move") {
+  routes::Table table = table_of_two();
+  for (const bool whole : {kChanges, kWhole}) {
+    table.apply(node_list(4, kChanges, {endpoint("x", "127.0.0.1:1", "terminating")}));
+    const auto list = table.apply(node_list(5, whole, {endpoint("x", "127.0.0.1:8", "terminating")}));
+    CHECK(told_of(list, "x") == ServerState::Draining);
+    CHECK(state_of(table, "x") == ServerState::Draining);
+    CHECK(target(table, "x").address == "127.0.0.1:8");
+    CHECK(ntohs(target(table, "x").where.sin_port) == 8);
+  }
+}
+
+// ---- two names with one number ----
+
+TEST_CASE("a drain of either of two names with one number is heard, and is not the other's") {
+  const auto& [lesser, greater] = names_with_one_number();
+  for (const bool whole : {kWhole, kChanges}) {
+    for (const bool swapped : {false, true}) {
+      for (const auto& [drained, stays] : {std::pair(lesser, greater), std::pair(greater, lesser)}) {
+        for (const char* status : {"terminating", "terminated"}) {
+          CAPTURE(whole);
+          CAPTURE(swapped);
+          CAPTURE(drained);
+          CAPTURE(status);
+          const Json stays_entry = endpoint(stays, "127.0.0.1:1");
+          routes::Table table = table_of({endpoint(drained, "127.0.0.1:2"), stays_entry});
+          Follower follower;
+          follower.take(table.apply(node_list(4, kWhole, {stays_entry, endpoint(drained, "127.0.0.1:2")})));
+          const Json drain = endpoint(drained, "127.0.0.1:2", status);
+          std::vector<Json> entries = {drain};
+          if (whole || swapped)
+            entries = swapped ? std::vector{stays_entry, drain} : std::vector{drain, stays_entry};
+          follower.take(table.apply(node_list(5, whole, entries)));
+          CHECK(follower.agrees(table));
+          CHECK(state_of(table, stays) == ServerState::Ready); // it has the number now
+          CHECK(state_of(table, drained) == std::nullopt);
+          // And what is told to another process makes the same table there.
+          routes::Table next({"a", "b"}, {"cache", "origin"});
+          next.apply(table.told());
+          CHECK(state_of(next, stays) == ServerState::Ready);
+          // The one that stays drains too: nobody with this number is in service.
+          follower.take(table.apply(node_list(6, kChanges, {endpoint(stays, "127.0.0.1:1", status)})));
+          CHECK(follower.agrees(table));
+          CHECK_FALSE(table.usable());
+          follower.take(table.apply(node_list(7, kChanges,
+                                              {endpoint(drained, "127.0.0.1:2", "terminated"),
+                                               endpoint(stays, "127.0.0.1:1", "terminated")})));
+          CHECK(follower.agrees(table));
+          CHECK(table.targets().empty());
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("a drain of an unknown name leaves the one alone that has its number") {
+  const auto& [lesser, greater] = names_with_one_number();
+  for (const auto& [unknown, known] : {std::pair(lesser, greater), std::pair(greater, lesser)}) {
+    for (const char* status : {"terminating", "terminated"}) {
+      CAPTURE(unknown);
+      CAPTURE(status);
+      routes::Table table = table_of({endpoint(known, "127.0.0.1:1")});
+      const auto list = table.apply(node_list(4, kChanges, {endpoint(unknown, "127.0.0.1:2", status)}));
+      CHECK(state_of(table, known) == ServerState::Ready);
+      CHECK(target(table, known).address == "127.0.0.1:1");
+      CHECK(told_of(list, known).value_or(ServerState::Ready) == ServerState::Ready);
+    }
+  }
+}
+
+TEST_CASE("the lesser of two names in service has the number, and the other once it is gone") {
+  const auto& [lesser, greater] = names_with_one_number();
+  routes::Table table = table_of({endpoint(greater, "127.0.0.1:2")});
+  table.apply(node_list(4, kChanges, {endpoint(lesser, "127.0.0.1:1")}));
+  CHECK(table.targets().size() == 1);
+  CHECK(state_of(table, lesser) == ServerState::Ready);
+  table.apply(node_list(5, kChanges, {endpoint(greater, "127.0.0.1:9")})); // told while the other has it
+  CHECK(state_of(table, lesser) == ServerState::Ready);
+  const auto list = table.apply(node_list(6, kChanges, {endpoint(lesser, "", "terminated")}));
+  CHECK(told_of(list, greater) == ServerState::Ready);
+  CHECK(target(table, greater).address == "127.0.0.1:9");
+  // A whole list that names but one of them ends the other.
+  table.apply(node_list(7, kChanges, {endpoint(lesser, "127.0.0.1:1")}));
+  table.apply(node_list(8, kWhole, {endpoint(lesser, "127.0.0.1:1")}));
+  table.apply(node_list(9, kChanges, {endpoint(lesser, "", "terminated")}));
+  CHECK(table.targets().empty());
+}
+
+// ---- what is told to another process ----
+
+TEST_CASE("what is told on is what counts here, damaged entries as they were understood") {
+  routes::Table table = table_of_two();
+  table.apply(node_list(4, kChanges,
+                        {without(endpoint("x", "127.0.0.1:1"), "status"),
+                         with(with(endpoint("y", "127.0.0.1:7"), "weight", nullptr), "extra", "kept")}));
+  routes::Table next({"a", "b"}, {"cache", "origin"});
+  REQUIRE_NOTHROW(next.apply(table.told()));
+  CHECK(next.dropped_entries() == 0);
+  CHECK(next.index() == 4);
+  CHECK(state_of(next, "x") == ServerState::Draining);
+  CHECK(target(next, "x").address == "127.0.0.1:1");
+  CHECK(state_of(next, "y") == ServerState::Ready);
+  CHECK(target(next, "y").address == "127.0.0.1:7");
+  CHECK(table.told().find("\"extra\":\"kept\"") != std::string::npos);
+}
+
+// ---- answers that are too old ----
+
+TEST_CASE(
+    "an answer from before what is known is stale and changes nothing") { // guards: a drain that is undone
+  for (const bool whole : {kWhole, kChanges}) {
+    routes::Table table = table_of({endpoint("x", "127.0.0.1:1", "terminating")});
+    const Json old = node_list(2, whole, {endpoint("x", "127.0.0.1:1")});
+    CHECK_THROWS_WITH_AS(table.apply(old, 3), doctest::Contains("stale: index 2 after 3"), routes::Stale);
+    CHECK_THROWS_AS(table.apply(old.dump(), 3), routes::Stale);
+    CHECK_THROWS_AS(table.apply(old.dump(), 3), routes::Damaged);
+    CHECK(table.index() == 3);
+    CHECK(state_of(table, "x") == ServerState::Draining);
+    CHECK_NOTHROW(table.apply(old, 2));
+    CHECK_NOTHROW(table.apply(old)); // another discovery counts from where it likes
+    CHECK(state_of(table, "x") == ServerState::Ready);
+  }
+}
