--- a/tests/maintenance/bans_test.cpp
+++ b/tests/maintenance/bans_test.cpp
@@ -55,6 +55,22 @@
   CHECK(bans.over("a", server(0, ServerState::Gone)).state == ServerState::Gone);
 }
 
+TEST_CASE("a drain that is told while a node is out by hand counts then and when it is put back") {
+  Bans bans;
+  bans.list({"a", "b"});
+  bans.take_out("a");
+  for (const ServerState told : {ServerState::Draining, ServerState::Gone}) {
+    CHECK(bans.over("a", server(0, told)).state == told);
+  }
+  CHECK(bans.put_back(5, "a") == Said::Yes);
+  CHECK(bans.over("a", server(0, ServerState::Draining)).state == ServerState::Draining);
+  CHECK(bans.take_out("a") == Said::Yes); // and the other way round: out again while it drains
+  CHECK(bans.over("a", server(0, ServerState::Draining)).state == ServerState::Draining);
+  CHECK(bans.over("a", server()).state == ServerState::Draining); // the drain is taken back, the ban is not
+  CHECK(bans.put_back(9, "a") == Said::Yes);
+  CHECK(bans.over("a", server()).state == ServerState::Ready);
+}
+
 TEST_CASE("an id that was never listed gets a no, one that has gone is remembered, and not without bound") {
   Bans bans({3, 2});
   CHECK(bans.take_out("x") == Said::NeverListed);
