The lab: one crowded discovery server that all routers share (discovery.congestion)

Answers are made one after another at a fixed rate and sent in pieces that take turns at a fixed bandwidth; some calls are refused, some long polls fall silent. Capacity spent on calls that are given up is lost, as on a real server.

When a router counts as told is now reckoned for each version of the list by itself: 6 s after it could have been told, and 4 s after the SIGHUP that tells it of another address. Before, all that discovery had was counted as told 6 s after the first news that the router lacked, also what had come a moment ago, and also while discovery was out of its reach.

--- a/lab/peers/agents.cpp
+++ b/lab/peers/agents.cpp
@@ -23,7 +23,7 @@
 
 constexpr double kMostWaitMs = 60000; // for one call
 constexpr double kGoesOnMs = 200;     // a watch goes on if the next call comes within this
-constexpr double kSweepMs = 250;
+constexpr double kSweepMs = 25;
 constexpr int kBacklog = 64;
 
 std::string_view word(ServerState state) {
@@ -57,8 +57,11 @@
       loop_(loop),
       network_(network),
       discovery_(stage.spec, stage.plan),
-      sides_(stage.plan.routers.size()) {
-  for (Side& side : sides_) {
+      sides_(stage.plan.routers.size()),
+      queue_(stage.spec.discovery.congestion, loop, *this) {
+  for (RouterId r = 0; r < sides_.size(); ++r) {
+    Side& side = sides_[r];
+    side.congestion = model::stream(stage.spec.seed, "discovery congestion", r);
     side.had.resize(stage.plan.machines.size());
     side.counted.resize(stage.plan.machines.size());
     note(side.had, discovery_.list(0, std::nullopt)); // the list as it was before the run
@@ -136,6 +139,11 @@
   ask.since = parameter(query, "since");
   const auto wait = parameter(query, "timeout_ms");
   ask.until = loop::now_ms() + std::min(kMostWaitMs, wait ? static_cast<double>(*wait) : 0.0);
+  if (refuse(call)) return;
+  const bool is_held = ask.since && *ask.since == discovery_.index(call.router);
+  if (is_held &&
+      model::draw_chance(stage_.spec.discovery.congestion.silent_share, sides_[call.router].congestion))
+    ask.progress = Progress::NeverAnswered;
   call.ask = ask;
   if (ask.since) {
     call.ticket = loop_.deadlines().at(ask.until, [this, handle = call.self] {
@@ -145,27 +153,75 @@
   serve(call);
 }
 
+bool Agents::refuse(Call& call) {
+  if (silent(call.router)) return false;
+  model::Engine& engine = sides_[call.router].congestion;
+  if (!model::draw_chance(stage_.spec.discovery.congestion.refused_share, engine)) return false;
+  if (model::draw_chance(0.5, engine)) {
+    call.stream->send(http::write_response(503, {}, "", true));
+  } else {
+    calls_.remove(call.self);
+  }
+  return true;
+}
+
 // Answers a call, unless it is to wait or nothing is said at all.
 void Agents::serve(Call& call) {
-  if (!call.ask || silent(call.router)) return;
+  if (!call.ask || call.ask->progress != Progress::Held || silent(call.router)) return;
   const std::uint64_t index = discovery_.index(call.router);
   const auto since = call.ask->since;
   if (since && *since == index && loop::now_ms() < call.ask->until) return;
-  if (since) sides_[call.router].watch_ended_at = now();
-  answer(call, discovery_.list(call.router, since));
+  loop_.deadlines().cancel(call.ticket);
+  call.ask->progress = Progress::Queued;
+  if (stage_.spec.discovery.congestion.on()) return queue_.add(call.self);
+  call.stream->send(answer_text(call));
+  answered(call);
 }
 
-void Agents::answer(Call& call, const Discovery::List& list) {
-  call.ask.reset();
-  loop_.deadlines().cancel(call.ticket);
+std::string Agents::answer_text(Call& call) {
+  call.ask->answer = discovery_.list(call.router, call.ask->since);
+  const std::string body = list_json(call.router, call.ask->answer).dump();
+  return http::write_response(200, {{"Content-Type", "application/json"}}, body, true);
+}
+
+// The whole of the answer has been written.
+void Agents::answered(Call& call) {
   Side& side = sides_[call.router];
-  note(side.had, list);
+  if (call.ask->since) side.watch_ended_at = now();
+  const Discovery::List list = std::move(call.ask->answer);
+  call.ask.reset();
+  if (list.index >= side.had_index) {
+    side.had_index = list.index;
+    note(side.had, list);
+  }
   count(call.router, list, false, false);
-  const std::string body = list_json(call.router, list).dump();
-  call.stream->send(http::write_response(200, {{"Content-Type", "application/json"}}, body, true));
   read_call(call);
 }
 
+// ---- the crowded server ----
+
+AnswerQueue::Calls::State Agents::state(Handle handle) {
+  const Call* call = calls_.find(handle);
+  if (call == nullptr) return State::Closed;
+  return silent(call->router) ? State::Silent : State::Open;
+}
+
+std::optional<std::string> Agents::make_answer(Handle handle) {
+  Call* call = calls_.find(handle);
+  if (call == nullptr) return std::nullopt;
+  if (silent(call->router)) { // asks anew when discovery is back
+    call->ask->progress = Progress::Held;
+    return std::nullopt;
+  }
+  return answer_text(*call);
+}
+
+void Agents::send_piece(Handle handle, std::string_view piece, bool is_last) {
+  Call& call = *calls_.find(handle);
+  call.stream->send(piece);
+  if (is_last) answered(call);
+}
+
 // ---- what is told ----
 
 void Agents::note(std::vector<Known>& into, const Discovery::List& list) const {
@@ -178,6 +234,7 @@
   if (!cached) {
     if (list.index <= side.counted_index) return;
     side.counted_index = list.index;
+    drop_told(side);
   }
   const std::vector<Known> before = side.counted;
   note(side.counted, list);
@@ -194,6 +251,10 @@
   }
 }
 
+void Agents::drop_told(Side& side) {
+  while (!side.news.empty() && side.news.front().index <= side.counted_index) side.news.pop_front();
+}
+
 json Agents::endpoint(RouterId router, const Discovery::Entry& entry) const {
   const model::Machine& m = stage_.plan.machines[entry.machine];
   const bool origin = m.kind >= stage_.spec.kinds.size();
@@ -218,7 +279,13 @@
   Side& side = sides_[router];
   side.runs = true;
   side.counted_index = 0;
-  side.behind_since = now();
+  side.news.clear();
+  side.news_index = 0; // all that discovery has is news to it
+  note_news(router);
+  side.moves = moves_;
+  side.reloaded_at = -kNever;
+  side.reachable_since = kNever;
+  note_reach(router);
   side.watch_ended_at = -1e9;
   Discovery::List known;
   known.index = 0; // whatever discovery tells is newer
@@ -232,7 +299,10 @@
   return list_json(router, known);
 }
 
-void Agents::router_ended(RouterId router) { sides_[router].runs = false; }
+void Agents::router_ended(RouterId router) {
+  sides_[router].runs = false;
+  note_reach(router);
+}
 
 // ---- what happens ----
 
@@ -249,6 +319,7 @@
 void Agents::apply(const model::Step& step) {
   if (const auto* router = std::get_if<model::RouterStep>(&step.what)) {
     if (router->what == model::RouterStep::What::Return) serve_all();
+    if (router->what == model::RouterStep::What::Reload) reloaded(router->router);
     return;
   }
   const auto* found = std::get_if<model::DiscoveryStep>(&step.what);
@@ -266,6 +337,7 @@
       for (RouterId r = 0; r < sides_.size(); ++r) listen(r, moves_);
       return;
     case What::OldEnds:
+      oldest_moves_ = moves_;
       std::erase_if(doors_, [this](const auto& door) {
         if (door->moves >= moves_) return false;
         door->accepts.reset();
@@ -281,6 +353,15 @@
   }
 }
 
+// After SIGHUP a router reads its file again, and in it discovery's address.
+void Agents::reloaded(RouterId router) {
+  Side& side = sides_[router];
+  if (!side.runs || side.moves == moves_) return;
+  side.moves = moves_;
+  side.reloaded_at = now();
+  note_reach(router);
+}
+
 void Agents::advance() {
   discovery_.advance(now());
   for (RouterId r = 0; r < sides_.size(); ++r) spread(r);
@@ -297,32 +378,60 @@
 // What has come to a router's agent goes to the calls that wait for it.
 void Agents::spread(RouterId router) {
   Side& side = sides_[router];
-  const std::uint64_t index = discovery_.index(router);
-  if (index <= side.counted_index) {
-    side.behind_since = now();
-    return;
-  }
+  note_news(router);
+  if (discovery_.index(router) <= side.counted_index) return;
   calls_.each([&](Handle, Call& call) {
     if (call.router == router) serve(call);
   });
-  const bool between = now() - side.watch_ended_at <= kGoesOnMs && !silent(router) && side.runs;
+  const bool between = now() - side.watch_ended_at <= kGoesOnMs && !silent(router) && side.runs &&
+                       !stage_.spec.discovery.congestion.on();
   if (between) count(router, discovery_.list(router, side.counted_index), false, false);
-  if (index <= side.counted_index) side.behind_since = now();
 }
 
 void Agents::serve_all() {
   calls_.each([&](Handle, Call& call) { serve(call); });
 }
 
-// A router that does not ask counts as told all the same, in the end.
+void Agents::note_news(RouterId router) {
+  Side& side = sides_[router];
+  const std::uint64_t index = discovery_.index(router);
+  if (index <= side.news_index) return;
+  side.news_index = index;
+  side.news.push_back({index, now()});
+  drop_told(side);
+}
+
+bool Agents::reachable(RouterId router) const {
+  const Side& side = sides_[router];
+  return side.runs && !silent(router) && side.moves >= oldest_moves_;
+}
+
+void Agents::note_reach(RouterId router) {
+  Side& side = sides_[router];
+  if (!reachable(router)) {
+    side.reachable_since = kNever;
+  } else if (side.reachable_since == kNever) {
+    side.reachable_since = now();
+  }
+}
+
+// When the router counts as told of it at the latest.
+double Agents::counts_at(const Side& side, const News& news) const {
+  const model::DiscoverySpec& spec = stage_.spec.discovery;
+  const double at_latest = std::max(news.came_at, side.reachable_since) + spec.at_latest_ms;
+  const bool was_to_be_read_anew =
+      news.came_at <= side.reloaded_at && side.reachable_since <= side.reloaded_at;
+  return was_to_be_read_anew ? std::min(at_latest, side.reloaded_at + spec.reload_at_latest_ms) : at_latest;
+}
+
+// A router that does not ask, or has no answer, counts as told all the same, in the end.
 void Agents::sweep() {
   const double at = now();
   for (RouterId r = 0; r < sides_.size(); ++r) {
     Side& side = sides_[r];
-    if (discovery_.index(r) <= side.counted_index) {
-      side.behind_since = at;
-    } else if (side.runs && at - side.behind_since >= stage_.spec.discovery.at_latest_ms) {
-      count(r, discovery_.list(r, std::nullopt), false, true);
+    note_reach(r);
+    while (!side.news.empty() && counts_at(side, side.news.front()) <= at) {
+      count(r, discovery_.list_at(side.news.front().index), false, true);
     }
   }
   loop_.after(kSweepMs, [this] { sweep(); });
--- a/lab/peers/agents.h
+++ b/lab/peers/agents.h
@@ -1,30 +1,43 @@
 // Discovery as the routers see it: an agent on each router's own machine, which answers at once with what discovery
-// has sent it, and says nothing while discovery is down or its machine is cut off.
+// has sent it, and says nothing while discovery is down or its machine is cut off. Where the scenario has
+// `discovery.congestion`, the calls of all routers are answered by one crowded server instead (answer_queue.h).
 //
-// What a router counts as told of is recorded when it is written to the router, when a change comes between two calls
-// of one watch, and for a router that does not ask, after DiscoverySpec::at_latest_ms.
+// What a router counts as told of is recorded when
+//  - it has been written to the router in full;
+//  - it comes between two calls of one watch (not with congestion: the next call has to wait for its turn);
+//  - DiscoverySpec::at_latest_ms has passed since the router could have been told of it, whatever became of its
+//    calls: they may have failed, been refused, been given up, fallen silent or still wait for their turn;
+//  - DiscoverySpec::reload_at_latest_ms has passed since the SIGHUP that told it of discovery's new address.
+// The last two begin anew when discovery comes back from an outage, or the router's machine from a cut: until then it
+// could not have been told.
 #pragma once
 
+#include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <vector>
 
 #include "http/parser.h"
+#include "lab/peers/answer_queue.h"
 #include "lab/shared/loop.h"
 #include "lab/shared/stage.h"
 #include "lab/shared/stream.h"
 #include "loop/slots.h"
 #include "model/discovery.h"
 #include "model/network.h"
+#include "model/rng.h"
 
 namespace fernward::rig {
 
-class Agents {
+class Agents final : private AnswerQueue::Calls {
  public:
   Agents(const Stage& stage, Loop& loop, model::Network& network);
   ~Agents();
+  Agents(const Agents&) = delete;
+  Agents& operator=(const Agents&) = delete;
 
   void open();                         // listens; throws std::runtime_error
   void begin();                        // the run has begun
@@ -49,9 +62,16 @@
     int fd = -1;
     loop::EventPtr accepts;
   };
+  enum class Progress {
+    Held,         // it waits for news, or for discovery to come back
+    Queued,       // its answer waits to be made, or for its turn to be sent
+    NeverAnswered // a long poll that falls silent
+  };
   struct Ask {
     std::optional<std::uint64_t> since;
     double until = 0; // wall clock
+    Progress progress = Progress::Held;
+    model::Discovery::List answer; // that is being sent
   };
   struct Call final : Stream::User {
     void bytes(std::string_view got) override { all->read(*this, got); }
@@ -71,13 +91,24 @@
     ServerState state = ServerState::Gone;
     double started_at = -1;
   };
+  static constexpr double kNever = std::numeric_limits<double>::infinity();
+  struct News { // a version of the list that the router does not count as told of yet
+    std::uint64_t index = 0;
+    double came_at = 0;
+  };
   struct Side { // a router's
     bool runs = false;
-    std::vector<Known> had;     // written to it
+    std::vector<Known> had; // written to it
+    std::uint64_t had_index = 0;
     std::vector<Known> counted; // that it counts as told of
     std::uint64_t counted_index = 0;
-    double behind_since = 0;      // what it has not been told came at this time
-    double watch_ended_at = -1e9; // run time of the last answer to a watch
+    std::deque<News> news;           // in order
+    std::uint64_t news_index = 0;    // the latest that was put there
+    std::uint32_t moves = 0;         // it knows discovery's address after this many moves
+    double reachable_since = kNever; // discovery, from this router; kNever: it is out of reach
+    double reloaded_at = -kNever;    // it was told of another address
+    double watch_ended_at = -1e9;    // run time of the last answer to a watch
+    model::Engine congestion;        // draws what becomes of its calls
   };
 
   static void acceptable(int, short, void* door);
@@ -85,14 +116,25 @@
   void accept(const Door& door);
   void read(Call& call, std::string_view got);
   void read_call(Call& call);
+  bool refuse(Call& call); // false: the call is taken
   void serve(Call& call);
-  void answer(Call& call, const model::Discovery::List& list);
+  std::string answer_text(Call& call);
+  void answered(Call& call);
+  State state(Handle call) override;
+  std::optional<std::string> make_answer(Handle call) override;
+  void send_piece(Handle call, std::string_view piece, bool is_last) override;
   bool silent(model::RouterId router) const { return down_ || !network_.reachable(router); }
+  void reloaded(model::RouterId router);
   void advance();
   void serve_all();
   void spread(model::RouterId router);
+  void note_news(model::RouterId router);
+  void note_reach(model::RouterId router);
+  bool reachable(model::RouterId router) const;
+  double counts_at(const Side& side, const News& news) const;
   void sweep();
   void count(model::RouterId router, const model::Discovery::List& list, bool cached, bool deemed);
+  void drop_told(Side& side);
   void note(std::vector<Known>& into, const model::Discovery::List& list) const;
   nlohmann::json endpoint(model::RouterId router, const model::Discovery::Entry& entry) const;
   nlohmann::json list_json(model::RouterId router, const model::Discovery::List& list) const;
@@ -103,11 +145,13 @@
   model::Network& network_;
   model::Discovery discovery_;
   bool down_ = false;
-  std::uint32_t moves_ = 0; // addresses that it has left for another
+  std::uint32_t moves_ = 0;        // addresses that it has left for another
+  std::uint32_t oldest_moves_ = 0; // the oldest of them that still answers
   loop::Deadlines::Ticket wake_ = 0;
   std::vector<std::unique_ptr<Door>> doors_;
   loop::Slots<Call> calls_;
   std::vector<Side> sides_;
+  AnswerQueue queue_;
 };
 
 } // namespace fernward::rig
--- a/lab/peers/fleet.cpp
+++ b/lab/peers/fleet.cpp
@@ -33,7 +33,7 @@
 void Fleet::open() {
   machines_.open();
   agents_.open();
-  datagrams_.open();
+  if (stage_.spec.routers.sharing.on) datagrams_.open();
   thread_ = std::thread([this] {
     pthread_setname_np(pthread_self(), "lab-fleet");
     loop_.run();
--- a/lab/rig/rig.cpp
+++ b/lab/rig/rig.cpp
@@ -38,10 +38,11 @@
   return path;
 }
 
-// Every pair of a router and a machine has a listening socket of its own.
-void need_descriptors(const model::Plan& plan) {
+// Every pair of a router and a machine has a listening socket of its own, and every pair of routers that share.
+void need_descriptors(const model::Spec& spec, const model::Plan& plan) {
   const std::size_t routers = plan.routers.size();
-  const rlim_t need = routers * plan.machines.size() * 2 + routers * routers + routers * 4 + kSpare;
+  const std::size_t pairs = spec.routers.sharing.on ? routers * routers : 0;
+  const rlim_t need = routers * plan.machines.size() * 2 + pairs + routers * 4 + kSpare;
   rlimit files{};
   getrlimit(RLIMIT_NOFILE, &files);
   files.rlim_cur = files.rlim_max;
@@ -90,7 +91,7 @@
         control_(control),
         options_(options),
         plan_(model::make_plan(spec)),
-        directory_((need_descriptors(plan_), make_directory())),
+        directory_((need_descriptors(spec, plan_), make_directory())),
         guardian_(directory_),
         addresses_(plan_.routers.size(), plan_.machines.size()),
         bodies_(secret()),
--- a/lab/scenario/schema.cpp
+++ b/lab/scenario/schema.cpp
@@ -224,6 +224,22 @@
   v.leave();
 }
 
+void congestion(Visitor& v, CongestionSpec& c) {
+  v.enter("congestion", "one discovery server that all routers share; on sockets only");
+  v.amount("answers_per_second", c.answers_per_second, Unit::Rate,
+           "made one after another, in the order of the calls; 0: no limit");
+  v.amount("bytes_per_second", c.bytes_per_second, Unit::Bytes,
+           "sent in a second, of all answers together, piece by piece in turn; 0: no limit");
+  v.amount("piece_size_bytes", c.piece_size_bytes, Unit::Bytes, "answers go out in such pieces; 0: in one");
+  v.amount("piece_interval_ms", c.piece_interval_ms, Unit::Time,
+           "the least time between two pieces of one answer");
+  v.amount("refused_share", c.refused_share, Unit::Share,
+           "of the calls: half get a 503, half have their connection closed");
+  v.amount("silent_share", c.silent_share, Unit::Share,
+           "of the long polls that find no news yet: never answered");
+  v.leave();
+}
+
 void discovery(Visitor& v, DiscoverySpec& d) {
   v.enter("discovery", "how late the node list is");
   v.amount("add_min_ms", d.add_min_ms, Unit::Time, "from a node's start until the list has it: the least");
@@ -234,7 +250,11 @@
   v.amount("silent_max_ms", d.silent_max_ms, Unit::Time, "and the most");
   v.amount("period_ms", d.period_ms, Unit::Time, "the list is renewed this often");
   v.amount("spread_ms", d.spread_ms, Unit::Time, "and comes to each router up to this much later");
-  v.amount("at_latest_ms", d.at_latest_ms, Unit::Time, "it counts as told after this, arrived or not");
+  v.amount("at_latest_ms", d.at_latest_ms, Unit::Time,
+           "what it could have told a router counts as told after this, arrived or not");
+  v.amount("reload_at_latest_ms", d.reload_at_latest_ms, Unit::Time,
+           "the same from the SIGHUP after discovery has moved");
+  congestion(v, d.congestion);
   v.leave();
 }
 
--- a/lab/scenario/sound.cpp
+++ b/lab/scenario/sound.cpp
@@ -111,6 +111,10 @@
       add("routers.groups",
           std::to_string(routers) + " routers, and " + std::to_string(offer_.routers) + " can be played");
     }
+    if (spec_.discovery.congestion.on() && !offer_.congestion) {
+      add("discovery.congestion",
+          "is played on sockets only: in virtual time every change arrives by itself");
+    }
     if (spec_.events.size() > kMostEvents) add("events", "more than 1000 events");
     double steps = 0;
     for (std::size_t i = 0; i < spec_.events.size(); ++i) {
--- a/src/model/discovery.cpp
+++ b/src/model/discovery.cpp
@@ -102,8 +102,12 @@
 }
 
 Discovery::List Discovery::list(RouterId router, std::optional<std::uint64_t> since) const {
+  return list_between(agents_[router], since);
+}
+
+Discovery::List Discovery::list_between(std::uint64_t index, std::optional<std::uint64_t> since) const {
   List list;
-  list.index = agents_[router];
+  list.index = index;
   // Of a list whose first half alone was folded into the base, the changes are no longer whole.
   list.whole = !since || *since < base_index_ || *since > list.index;
   std::map<MachineId, Entry> entries;
--- a/src/model/discovery.h
+++ b/src/model/discovery.h
@@ -46,6 +46,8 @@
   } // what its agent has, after advance()
   // What the agent has that is newer than `since` (none: everything).
   List list(RouterId router, std::optional<std::uint64_t> since) const;
+  // The whole list as it was at `index`, which an agent has had.
+  List list_at(std::uint64_t index) const { return list_between(index, std::nullopt); }
 
  private:
   struct Coming {
@@ -57,6 +59,7 @@
     std::uint64_t index = 0;
   };
 
+  List list_between(std::uint64_t index, std::optional<std::uint64_t> since) const;
   void publish(double now);
   void trim();
 
--- a/src/model/spec.cpp
+++ b/src/model/spec.cpp
@@ -179,6 +179,18 @@
     if (s.asked > 8) fault("routers.sharing.asked", "must be 8 or less");
   }
 
+  void congestion(const CongestionSpec& c) {
+    amount("discovery.congestion.answers_per_second", c.answers_per_second);
+    amount("discovery.congestion.bytes_per_second", c.bytes_per_second);
+    amount("discovery.congestion.piece_size_bytes", c.piece_size_bytes);
+    amount("discovery.congestion.piece_interval_ms", c.piece_interval_ms);
+    share("discovery.congestion.refused_share", c.refused_share);
+    share("discovery.congestion.silent_share", c.silent_share);
+    if (c.piece_interval_ms > 0 && c.piece_size_bytes == 0) {
+      fault("discovery.congestion.piece_interval_ms", "says nothing without piece_size");
+    }
+  }
+
   void rest() {
     amount("front.notice_ms", spec_.front.notice_ms);
     positive("front.ready_every_ms", spec_.front.ready_every_ms);
@@ -189,6 +201,8 @@
     amount("discovery.period_ms", d.period_ms);
     amount("discovery.spread_ms", d.spread_ms);
     positive("discovery.at_latest_ms", d.at_latest_ms);
+    positive("discovery.reload_at_latest_ms", d.reload_at_latest_ms);
+    congestion(d.congestion);
     const ClientSpec& c = spec_.clients;
     amount("clients.retries", c.retries);
     if (c.retries > 14) fault("clients.retries", "must be 14 or less");
--- a/src/model/spec.h
+++ b/src/model/spec.h
@@ -171,13 +171,32 @@
   double ready_every_ms = 200; // how often it asks a starting router whether it is ready
 };
 
+// One discovery server that the calls of all routers share (sockets only). All 0: every call is answered at once.
+struct CongestionSpec {
+  double answers_per_second = 0; // made one after another, in the order of the calls; 0: no limit
+  double bytes_per_second = 0;   // of all answers together, whose pieces are sent in turn; 0: no limit
+  double piece_size_bytes = 0;   // an answer goes out in pieces of this size; 0: in one
+  double piece_interval_ms = 0;  // the least time between two pieces of one answer
+  double refused_share = 0;      // of the calls: half get a 503, half have their connection closed
+  double silent_share = 0;       // of the long polls that find no news yet: never answered
+
+  bool on() const {
+    return answers_per_second > 0 || bytes_per_second > 0 || piece_size_bytes > 0 || refused_share > 0 ||
+           silent_share > 0;
+  }
+};
+
 struct DiscoverySpec {
   double add_min_ms = 800, add_max_ms = 2200;         // from a node's start until the list has it
   double notice_min_ms = 1000, notice_max_ms = 4500;  // from a drain or end until the list has it
   double silent_min_ms = 7000, silent_max_ms = 13000; // from a machine's silence until the list has it
   double period_ms = 400;                             // the list is renewed this often
   double spread_ms = 400;                             // and comes to each router up to this much later
-  double at_latest_ms = 6000; // what it has to tell counts as told after this, arrived or not
+  // What it has to tell counts as told after this, arrived or not, from when a router could reach it.
+  double at_latest_ms = 6000;
+  // The same from the SIGHUP that tells a router that discovery has moved.
+  double reload_at_latest_ms = 4000;
+  CongestionSpec congestion;
 };
 
 // ---- load ----
