The lab: a router's start is recorded before what it counts as told of from its start

The checker begins a router's list anew at its start; what the process had from its last life was told just before and forgotten, and until the first answer its attempts went to nodes that "its list never named".

--- a/lab/rig/routers.cpp
+++ b/lab/rig/routers.cpp
@@ -109,6 +109,7 @@
   router.start_after_ms = -1;
   router.pid = 0;
   ++router.life;
+  event(r, RouterEvent::What::Started); // before what the new process counts as told of from its start
   router.config =
       router_json(stage_, r, moves_, model::mix(stage_.spec.seed, r, router.life), fleet_.router_starts(r));
   write_config(router);
@@ -150,7 +151,6 @@
   router.output_event.reset(
       event_new(loop_.base(), ends[0], EV_READ | EV_PERSIST, &Routers::readable, &router));
   event_add(router.output_event.get(), nullptr);
-  event(r, RouterEvent::What::Started);
   load_.router_started(r);
 }
 
