--- a/lab/peers/agents.cpp
+++ b/lab/peers/agents.cpp
@@ -358,8 +358,8 @@
   Side& side = sides_[router];
   if (!side.runs || side.moves == moves_) return;
   side.moves = moves_;
+  note_reach(router); // within reach again by the reload at the latest
   side.reloaded_at = now();
-  note_reach(router);
 }
 
 void Agents::advance() {
--- a/lab/peers/datagrams.h
+++ b/lab/peers/datagrams.h
@@ -16,6 +16,13 @@
 
 namespace fernward::rig {
 
+// Each pair of routers takes a port of its own. Routers that do not share are to send nothing; ports that would find
+// out are kept for up to this many.
+inline constexpr std::size_t kMostIdleDatagramRouters = 64;
+inline bool has_datagram_ports(const model::Spec& spec, const model::Plan& plan) {
+  return spec.routers.sharing.on || plan.routers.size() <= kMostIdleDatagramRouters;
+}
+
 class Datagrams {
  public:
   Datagrams(const Stage& stage, Loop& loop, model::Network& network);
--- a/lab/peers/fleet.cpp
+++ b/lab/peers/fleet.cpp
@@ -33,7 +33,7 @@
 void Fleet::open() {
   machines_.open();
   agents_.open();
-  if (stage_.spec.routers.sharing.on) datagrams_.open();
+  if (has_datagram_ports(stage_.spec, stage_.plan)) datagrams_.open();
   thread_ = std::thread([this] {
     pthread_setname_np(pthread_self(), "lab-fleet");
     loop_.run();
--- a/lab/rig/rig.cpp
+++ b/lab/rig/rig.cpp
@@ -13,6 +13,7 @@
 #include <stdexcept>
 
 #include "lab/load/load.h"
+#include "lab/peers/datagrams.h"
 #include "lab/peers/fleet.h"
 #include "lab/process/guardian.h"
 #include "lab/rig/routers.h"
@@ -38,10 +39,10 @@
   return path;
 }
 
-// Every pair of a router and a machine has a listening socket of its own, and every pair of routers that share.
+// Every pair of a router and a machine has a listening socket of its own, and so have most pairs of routers.
 void need_descriptors(const model::Spec& spec, const model::Plan& plan) {
   const std::size_t routers = plan.routers.size();
-  const std::size_t pairs = spec.routers.sharing.on ? routers * routers : 0;
+  const std::size_t pairs = has_datagram_ports(spec, plan) ? routers * routers : 0;
   const rlim_t need = routers * plan.machines.size() * 2 + pairs + routers * 4 + kSpare;
   rlimit files{};
   getrlimit(RLIMIT_NOFILE, &files);
--- a/tests/lab/peers/agents_test.cpp
+++ b/tests/lab/peers/agents_test.cpp
@@ -27,6 +27,15 @@
   return get("?since=" + list["index"].dump() + "&timeout_ms=" + std::to_string(wait_ms));
 }
 
+// When each version of what is said of a machine counted as told to router 0, by the records since the last call.
+std::vector<model::Told> told_of(Stand& stand, model::MachineId machine) {
+  std::vector<model::Told> found;
+  for (const auto& told : stand.records<model::Told>()) {
+    if (told.router == 0 && told.machine == machine && !told.cached) found.push_back(told);
+  }
+  return found;
+}
+
 } // namespace
 
 TEST_CASE("the whole list, and a watch that is told of changes alone") {
@@ -113,3 +122,138 @@
   }));
   CHECK(deemed.back().at >= at + 500); // it was last seen to be abreast some time before
 }
+
+TEST_CASE("each change counts as told by its own time, not with the first one that a router missed") {
+  Stand stand([](model::Spec& spec) { spec.discovery.at_latest_ms = 600; });
+  stand.node(1, NodeStep::What::Drain);
+  usleep(400000);
+  stand.node(2, NodeStep::What::Drain);
+  std::vector<model::Told> first, second;
+  REQUIRE(until([&] {
+    for (const auto& told : stand.records<model::Told>()) {
+      if (told.router != 0 || !told.deemed || told.state != ServerState::Draining) continue;
+      (told.machine == 1 ? first : second).push_back(told);
+    }
+    return !first.empty() && !second.empty();
+  }));
+  CHECK(second[0].at >= first[0].at + 350);
+}
+
+TEST_CASE("what comes in an outage counts as told only some time after its end") {
+  Stand stand([](model::Spec& spec) { spec.discovery.at_latest_ms = 400; });
+  stand.happen(DiscoveryStep{DiscoveryStep::What::Down});
+  stand.node(1, NodeStep::What::Drain);
+  usleep(800000);
+  CHECK(told_of(stand, 1).empty());
+  const double back = stand.clock.now();
+  stand.happen(DiscoveryStep{DiscoveryStep::What::Up});
+  std::vector<model::Told> told;
+  REQUIRE(until([&] { return !(told = told_of(stand, 1)).empty(); }));
+  CHECK(told.back().deemed);
+  CHECK(told.back().at >= back + 400);
+}
+
+TEST_CASE("a router that does not know discovery's new address can be told of nothing until it is reloaded") {
+  Stand stand([](model::Spec& spec) {
+    spec.discovery.at_latest_ms = 1000;
+    spec.discovery.reload_at_latest_ms = 300;
+  });
+  stand.happen(DiscoveryStep{DiscoveryStep::What::MoveBegins});
+  stand.happen(DiscoveryStep{DiscoveryStep::What::OldEnds});
+  usleep(50000); // it is seen that discovery is out of reach
+  stand.node(1, NodeStep::What::Drain);
+  usleep(1200000);
+  CHECK(told_of(stand, 1).empty());
+  const double reloaded = stand.clock.now();
+  stand.happen(model::RouterStep{0, model::RouterStep::What::Reload, 0});
+  std::vector<model::Told> told;
+  REQUIRE(until([&] { return !(told = told_of(stand, 1)).empty(); }));
+  CHECK(told.back().deemed);
+  CHECK(told.back().at >= reloaded + 300);
+  CHECK(told.back().at < reloaded + 900); // and not after at_latest
+}
+
+TEST_CASE("a crowded discovery answers all routers in turn, in pieces") {
+  Stand stand([](model::Spec& spec) {
+    spec.discovery.congestion.answers_per_second = 5;
+    spec.discovery.congestion.piece_size_bytes = 100;
+    spec.discovery.congestion.piece_interval_ms = 10;
+  });
+  Raw first(stand.addresses->agent(0, 0)), second(stand.addresses->agent(1, 0));
+  const double asked = stand.clock.now();
+  first.send(get(""));
+  CHECK(first.read(100).empty());
+  second.send(get(""));
+  const json whole = list_of(first.ask(""));
+  // 200 ms for its turn, and more than ten pieces at 10 ms.
+  CHECK(stand.clock.now() >= asked + 290);
+  list_of(second.ask(""));
+  CHECK(stand.clock.now() >= asked + 490);
+
+  // A change counts as told when all of it has been written, though the last watch has just been answered.
+  const json none = list_of(first.ask(since(whole, 1)));
+  told_of(stand, 2);
+  stand.node(2, NodeStep::What::Drain);
+  usleep(100000);
+  CHECK(told_of(stand, 2).empty());
+  const json draining = list_of(first.ask(since(none, 5000)));
+  REQUIRE(draining["endpoints"].size() == 1);
+  const auto told = told_of(stand, 2);
+  REQUIRE(told.size() == 1);
+  CHECK_FALSE(told[0].deemed);
+}
+
+TEST_CASE("capacity spent on a call that is given up is lost, that of one that had no turn yet is not") {
+  Stand stand([](model::Spec& spec) { spec.discovery.congestion.answers_per_second = 4; });
+  const double asked = stand.clock.now();
+  {
+    Raw in_work(stand.addresses->agent(0, 0)), behind(stand.addresses->agent(0, 0));
+    in_work.send(get(""));
+    CHECK(in_work.read(100).empty());
+    behind.send(get(""));
+    CHECK(behind.read(50).empty());
+  }
+  list_of(Raw(stand.addresses->agent(1, 0)).ask(get("")));
+  CHECK(stand.clock.now() >= asked + 490);
+  CHECK(stand.clock.now() < asked + 730);
+}
+
+TEST_CASE("a crowded discovery counts as within reach: what waits too long counts as told") {
+  Stand stand([](model::Spec& spec) {
+    spec.discovery.at_latest_ms = 400;
+    spec.discovery.congestion.answers_per_second = 0.1;
+  });
+  const double at = stand.clock.now();
+  stand.node(1, NodeStep::What::Drain);
+  Raw agent(stand.addresses->agent(0, 0));
+  agent.send(get(""));
+  std::vector<model::Told> told;
+  REQUIRE(until([&] { return !(told = told_of(stand, 1)).empty(); }));
+  CHECK(told.back().deemed);
+  CHECK(told.back().at >= at + 400);
+}
+
+TEST_CASE("some calls are refused by 503 or a closed connection, some long polls are never answered") {
+  Stand refusing([](model::Spec& spec) { spec.discovery.congestion.refused_share = 1; });
+  int refused = 0, closed = 0;
+  for (int i = 0; i < 40; ++i) {
+    Raw agent(refusing.addresses->agent(0, 0));
+    const auto answer = agent.ask(get(""), 1000);
+    if (answer && answer->status == 503) ++refused;
+    if (!answer && agent.end != Raw::End::Open) ++closed;
+  }
+  CHECK(refused + closed == 40);
+  CHECK(refused > 5);
+  CHECK(closed > 5);
+
+  Stand silent([](model::Spec& spec) { spec.discovery.congestion.silent_share = 1; });
+  Raw agent(silent.addresses->agent(0, 0));
+  const json whole = list_of(agent.ask(get("")));
+  agent.send(since(whole, 100));
+  CHECK(agent.read(300).empty());
+  silent.node(2, NodeStep::What::Drain);
+  CHECK(agent.read(300).empty());
+  CHECK(agent.end == Raw::End::Open);
+  // A call that finds news as it comes is answered.
+  CHECK(list_of(Raw(silent.addresses->agent(0, 0)).ask(since(whole, 100)))["endpoints"].size() == 1);
+}
