--- a/lab/scenario/read.cpp
+++ b/lab/scenario/read.cpp
@@ -7,7 +7,7 @@
 namespace fernward::lab {
 
 Offer offer_virtual() { return {}; }
-Offer offer_sockets() { return {20000, 1000, 320, true}; }
+Offer offer_sockets() { return {20000, 1000, 320, 64, true}; }
 
 Scenario read_scenario(std::string_view text, const std::string& file, const Offer& offer,
                        const Loader& load) {
--- a/lab/scenario/read.h
+++ b/lab/scenario/read.h
@@ -23,6 +23,7 @@
 struct Offer {
   double rate_per_s = 200000;
   std::uint32_t nodes = 10000, routers = 1024;
+  std::uint32_t sharing_routers = 1024; // where routers.sharing is on
   bool congestion = false; // discovery's calls are played one by one, so that they can wait in turn
 };
 Offer offer_virtual();
--- a/lab/scenario/sound.cpp
+++ b/lab/scenario/sound.cpp
@@ -107,9 +107,11 @@
     if (nodes > offer_.nodes) {
       add("nodes", std::to_string(nodes) + " nodes, and " + std::to_string(offer_.nodes) + " can be played");
     }
-    if (routers > offer_.routers) {
-      add("routers.groups",
-          std::to_string(routers) + " routers, and " + std::to_string(offer_.routers) + " can be played");
+    const std::uint32_t most = spec_.routers.sharing.on ? offer_.sharing_routers : offer_.routers;
+    if (routers > most) {
+      add("routers.groups", std::to_string(routers) + " routers, and " + std::to_string(most) +
+                                " can be played" +
+                                (spec_.routers.sharing.on && most < offer_.routers ? " that share" : ""));
     }
     if (spec_.discovery.congestion.on() && !offer_.congestion) {
       add("discovery.congestion",
