Discovery: a call for changes stays open through an outage, one in doubt is hedged

Root cause: a call for the whole list that is made while discovery is down is never answered, also not as it returns; a call for changes is held and answered then. Watch::end (routes/watch.cpp) forgot the version of the list with each broken call, so that every call of an outage asked for the whole list, and Watch::ask waited kListMs = 2 s for each: as discovery returned, no call was open that could be told, for up to 2 s, where 250 ms are granted. All processes had started together and were in step. The comment in Watch::give_up took the opposite for granted. By a process's log: calls at 4.06, 6.06, 8.06 and 10.06 s unanswered, discovery back at 10.86, the drains told at 10.94, the call at 12.06 answered within a millisecond.

Mended: discovery/subscription.h decides, without I/O: while an open call may still be answered as expected nothing more is opened; once all are in doubt another is opened beside them, two at most; of two the call for changes stays; the first sound answer closes the other. routes/watch carries it out. Lists are read at a higher priority than requests, and before a burst of events is decided on. `known` waits for discovery's first list, 2 s at most.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -89,7 +89,7 @@
   signal(SIGXFSZ, SIG_IGN); // a body's file at the process's limit: the write fails, and that is dealt with
   signal(SIGHUP, SIG_IGN);  // until the router is there to reload
   raise_descriptor_limit(config);
-  const router::BasePtr base = router::make_base(!config.control.empty());
+  const router::BasePtr base = router::make_base();
   auto from = router::inherit(config);
   router::Router router(config, base.get(), from ? &*from : nullptr, fleet ? &*fleet : nullptr);
   if (!running.format.empty()) log::write_json(running.format == "json");
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -179,6 +179,7 @@
     throw Error(part.at("open_cap") + ": must be a number from 1 to 1000000");
   limits.grace_to_answer_ms =
       positive(from.part("obligations"), "grace_to_answer", limits.grace_to_answer_ms);
+  limits.drain_grace_ms = positive(from.part("obligations"), "drain_grace", limits.drain_grace_ms);
   return limits;
 }
 
--- /dev/null
+++ b/src/discovery/subscription.cpp
@@ -0,0 +1,200 @@
+#include "discovery/subscription.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fernward::discovery {
+namespace {
+
+constexpr double kNever = std::numeric_limits<double>::infinity();
+// A wait that discovery answers without waiting; 0 might be taken for none given.
+constexpr double kAtOnceMs = 1;
+// Of a pause: processes that were cut off together come back spread out. Of a patience: the bounds below hold for the whole.
+constexpr double kLeastPauseShare = 0.5;
+constexpr double kLeastPatienceShare = 0.8;
+// A call may take this much longer in all than its patience with a silence, however often something comes.
+constexpr double kComingMs = 1000;
+
+// The platform's bounds on how late a change may be heard: 6 s after discovery had it and could be reached, 4 s after a
+// reload names another address; 250 ms of grace are left for requests on their way. Each is kept over three calls in a row
+// that are never answered, the first a long poll: the fourth one is under way by then, and discovery answers it at once.
+// Where nothing has been answered for long, it is kept over the call that is open then and one more, whatever these do.
+constexpr SubscriptionRules kDefaults;
+constexpr double kThreeSilentMs = (1 + 2 + 4) * kDefaults.patience_ms;
+static_assert(kDefaults.poll_ms + kThreeSilentMs < 6000 - 250);
+static_assert(kThreeSilentMs < 4000 - 250);
+static_assert(2 * (kDefaults.max_patience_ms + kComingMs) < 6000 - 250);
+
+} // namespace
+
+Subscription::Subscription(const SubscriptionRules& rules, std::uint64_t seed, std::optional<ListIndex> known)
+    : rules_(rules),
+      random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32))),
+      known_(known) {}
+
+double Subscription::jittered(double ms, double least_share) {
+  return ms * std::uniform_real_distribution<double>(least_share, 1)(random_);
+}
+
+Subscription::Call* Subscription::find(CallId call) {
+  const auto it = std::find_if(calls_.begin(), calls_.end(), [call](const Call& c) { return c.id == call; });
+  return it == calls_.end() ? nullptr : &*it;
+}
+
+const Subscription::Call* Subscription::find(CallId call) const {
+  return const_cast<Subscription*>(this)->find(call);
+}
+
+ListIndex Subscription::at_least(CallId id) const {
+  const Call* call = find(id);
+  return call != nullptr && call->since ? *call->since : told_;
+}
+
+void Subscription::erase(CallId call) {
+  std::erase_if(calls_, [call](const Call& c) { return c.id == call; });
+}
+
+bool Subscription::all_in_doubt(double now) const {
+  return std::all_of(calls_.begin(), calls_.end(), [now](const Call& c) { return c.doubt_at <= now; });
+}
+
+void Subscription::open(double now, Actions& actions) {
+  Call call;
+  call.id = ++last_call_;
+  const double grown = rules_.patience_ms * static_cast<double>(1u << std::min(doubts_, 16u));
+  call.patience_ms = jittered(std::min(grown, rules_.max_patience_ms), kLeastPatienceShare);
+  call.opened_at = now;
+  call.doubt_at = now + call.patience_ms;
+  call.limit_at = call.doubt_at + kComingMs;
+  calls_.push_back(call);
+  actions.push_back(OpenConnection{call.id});
+}
+
+// Changes, as a rule. The whole list where there is nothing to go on from, and where this discovery answers and has not told
+// one yet. After a call for changes that failed, or beside one that is in doubt: discovery may have lost what it goes on from.
+bool Subscription::whole_list_next(const Call& call) const {
+  if (!known_ || resync_) return true;
+  if (failures() == 0) return !complete_;
+  if (failures() == 1) return false;
+  const bool pending = std::any_of(calls_.begin(), calls_.end(), [&](const Call& other) {
+    return other.id != call.id && asks_for_changes(other);
+  });
+  return pending || changes_asked_;
+}
+
+void Subscription::ask(double now, Call& call, Actions& actions) {
+  const bool whole = whole_list_next(call);
+  call.since = whole ? std::nullopt : known_;
+  changes_asked_ = !whole;
+  call.wait_ms = whole ? 0 : failures() > 0 ? kAtOnceMs : rules_.poll_ms;
+  const bool first = call.asked_at == 0; // on its connection: the time to connect counts, too
+  call.asked_at = now;
+  call.ask_at = 0;
+  const double silent_until = now + call.wait_ms + call.patience_ms;
+  call.limit_at = first ? call.limit_at + call.wait_ms : silent_until + kComingMs;
+  call.doubt_at = std::min(silent_until, call.limit_at);
+  actions.push_back(Ask{call.id, call.since, call.wait_ms});
+}
+
+void Subscription::connected(double now, CallId id, Actions& actions) {
+  if (Call* call = find(id)) ask(now, *call, actions);
+}
+
+void Subscription::progressed(double now, CallId id) {
+  Call* call = find(id);
+  if (call == nullptr || call->asked_at == 0 || call->ask_at > 0) return;
+  call->doubt_at = std::min(now + call->patience_ms, call->limit_at);
+}
+
+void Subscription::close_others(CallId but, Actions& actions) {
+  for (const Call& call : calls_) {
+    if (call.id != but) actions.push_back(CloseConnection{call.id});
+  }
+  std::erase_if(calls_, [but](const Call& c) { return c.id != but; });
+}
+
+// A discovery that answers without news and without waiting is not asked again and again at full speed.
+double Subscription::pause_after_empty(double now, const Call& call, const Answer& answer) {
+  const bool waited = call.wait_ms <= kAtOnceMs || now - call.asked_at >= call.wait_ms / 2;
+  if (!call.since || *call.since != answer.index || waited) {
+    empty_in_a_row_ = 0;
+    return 0;
+  }
+  const double grown = rules_.min_empty_ms * static_cast<double>(1u << std::min(empty_in_a_row_, 16u));
+  ++empty_in_a_row_;
+  return std::min(grown, rules_.max_empty_ms);
+}
+
+void Subscription::answered(double now, CallId id, const Answer& answer, bool reusable, Actions& actions) {
+  Call* call = find(id);
+  if (call == nullptr) return;
+  const double pause = pause_after_empty(now, *call, answer);
+  known_ = answer.index;
+  told_ = answer.index;
+  complete_ |= answer.whole;
+  resync_ = false;
+  failures_ = doubts_ = 0;
+  pause_ms_ = 0;
+  reopen_at_ = now + pause;
+  close_others(id, actions);
+  if (!reusable) {
+    actions.push_back(CloseConnection{id});
+    erase(id);
+    return tick(now, actions);
+  }
+  call = &calls_.front();
+  call->patience_ms = rules_.patience_ms;
+  if (pause == 0) return ask(now, *call, actions);
+  call->ask_at = now + pause;
+  call->doubt_at = kNever;
+}
+
+void Subscription::failed(double now, CallId id, Failure failure, Actions& actions) {
+  if (find(id) == nullptr) return;
+  erase(id);
+  ++failures_;
+  resync_ |= failure == Failure::Useless;
+  const double most = failure == Failure::Useless ? rules_.max_useless_pause_ms : rules_.max_pause_ms;
+  pause_ms_ = std::clamp(2 * pause_ms_, rules_.first_pause_ms, most);
+  reopen_at_ = now + jittered(pause_ms_, kLeastPauseShare);
+  tick(now, actions);
+}
+
+void Subscription::refresh(double now, Actions& actions) {
+  for (Call& call : calls_) call.doubt_at = std::min(call.doubt_at, now);
+  reopen_at_ = now;
+  const std::uint32_t doubts = doubts_;
+  tick(now, actions);
+  doubts_ = std::max(doubts, 1u); // however often it is asked for, patience does not grow by it
+}
+
+void Subscription::tick(double now, Actions& actions) {
+  for (Call& call : calls_) {
+    if (call.ask_at > 0 && call.ask_at <= now) ask(now, call, actions);
+  }
+  if (!all_in_doubt(now) || now < reopen_at_) return;
+  if (!calls_.empty()) ++doubts_;
+  if (calls_.size() > 1) close_one_of_two(now, actions);
+  open(now, actions);
+}
+
+void Subscription::close_one_of_two(double now, Actions& actions) {
+  const Call& oldest = calls_.front();
+  const bool waited_long = now - std::max(oldest.opened_at, oldest.asked_at) >= rules_.abandon_ms;
+  const bool older = waited_long || (asks_for_changes(calls_.back()) && !asks_for_changes(oldest));
+  const CallId id = older ? calls_.front().id : calls_.back().id;
+  actions.push_back(CloseConnection{id});
+  erase(id);
+}
+
+double Subscription::next() const {
+  double next = calls_.empty() ? reopen_at_ : 0;
+  for (const Call& call : calls_) next = std::max(next, call.doubt_at);
+  next = std::max(next, reopen_at_);
+  for (const Call& call : calls_) {
+    if (call.ask_at > 0) next = std::min(next, call.ask_at);
+  }
+  return next;
+}
+
+} // namespace fernward::discovery
--- /dev/null
+++ b/src/discovery/subscription.h
@@ -0,0 +1,136 @@
+// When to ask discovery for the list of endpoints, and over which connections. Decides; no I/O, no clock.
+//
+// One rule bounds how late a change is heard: while some open call may still be answered as expected, nothing more is
+// opened; once every open call is in doubt, another one is opened beside it. A call is in doubt when no byte of its answer
+// has come for longer than it may wait plus its patience, or when its answer has been coming for too long. A call in doubt
+// is not dropped, as it may still be answered: a slow list, a queue at discovery, an outage. The first sound answer closes
+// all others. At most two calls are open at a time; once both are in doubt one is replaced, with a patience that doubles up
+// to a bound.
+//
+// Of two calls in doubt the one that asks for changes stays. In an outage discovery holds such a call, and answers it as it
+// returns; a call for the whole list that was made meanwhile is never answered. Where both are alike the older one stays: it
+// is nearer to its answer where calls wait in turn. One that has waited for very long gives way.
+//
+// Changes can be asked for from the first moment on, as of the list that the process was started with; such a list may be
+// another discovery's or damaged, so that the whole list is asked for next.
+//
+//  - Units: milliseconds on the caller's clock, which only advances.
+//  - Ownership: actions are appended to the caller's vector. A few dozen bytes are kept, whatever the fleet's size.
+//  - Events that name a call that is not open are passed over.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <variant>
+#include <vector>
+
+namespace fernward::discovery {
+
+using CallId = std::uint32_t;    // one connection to discovery, with at most one call on it
+using ListIndex = std::uint64_t; // a version of the list, as discovery counts them
+
+struct SubscriptionRules {
+  double poll_ms = 1000;    // how long discovery may hold a call; an empty answer costs it next to nothing
+  double patience_ms = 400; // silence after which a call is in doubt
+  double max_patience_ms = 1800;     // of a call that was opened beside another
+  double abandon_ms = 15000;         // a call that has waited for this long gives way to another
+  double first_pause_ms = 25;        // before the next connection, after one that ended
+  double max_pause_ms = 125;         // the same after many
+  double max_useless_pause_ms = 500; // after answers of no use, which cost discovery a whole list each
+  double min_empty_ms = 20;          // before the next call, after an empty answer that did not wait
+  double max_empty_ms = 100; // the same after many; a subscription lapses 200 ms after its last answer
+};
+
+// How a call ended that brought no list.
+enum class Failure {
+  Disconnected, // refused, reset or closed before an answer began
+  Useless,      // an answer that can't be read, breaks off, is out of date or says no
+};
+
+// A sound answer: the list as of `index`.
+struct Answer {
+  ListIndex index = 0;
+  bool whole = false; // else changes alone
+};
+
+struct OpenConnection {
+  CallId call = 0;
+};
+struct Ask {
+  CallId call = 0;
+  std::optional<ListIndex> since; // the changes after this version; none: the whole list
+  double wait_ms = 0;             // how long discovery may wait for a change
+};
+struct CloseConnection {
+  CallId call = 0;
+};
+using Action = std::variant<OpenConnection, Ask, CloseConnection>;
+using Actions = std::vector<Action>;
+
+class Subscription {
+ public:
+  // `known`: the version of the list that the process has already, from wherever.
+  Subscription(const SubscriptionRules& rules, std::uint64_t seed, std::optional<ListIndex> known = {});
+
+  void start(double now, Actions& actions) { tick(now, actions); }
+  void connected(double now, CallId id, Actions& actions);
+  void progressed(double now, CallId id); // some bytes of its answer have come
+  // `reusable`: the answer's connection can carry the next call.
+  void answered(double now, CallId id, const Answer& answer, bool reusable, Actions& actions);
+  void failed(double now, CallId id, Failure failure, Actions& actions);
+  // What discovery has now is to be heard soon, whatever the open call says: another one is made beside it.
+  void refresh(double now, Actions& actions);
+
+  void tick(double now, Actions& actions); // to be called at next() or later
+  double next() const;                     // infinity: nothing is waited for
+
+  // The least version that a sound answer to this call can have.
+  ListIndex at_least(CallId id) const;
+  std::size_t open_calls() const { return calls_.size(); }
+  std::uint32_t failures() const { return failures_ + doubts_; } // since the last sound answer
+
+ private:
+  struct Call {
+    CallId id = 0;
+    double patience_ms = 0;
+    double opened_at = 0;
+    double asked_at = 0; // 0: its connection has not come up
+    double wait_ms = 0;
+    std::optional<ListIndex> since;
+    double limit_at = 0; // it is in doubt from then on, whatever comes
+    double doubt_at = 0; // and from then on, unless something comes before
+    double ask_at =
+        0; // when its next call is made, on a connection that was answered on; 0: it has been made
+  };
+
+  Call* find(CallId call);
+  const Call* find(CallId call) const;
+  bool asks_for_changes(const Call& call) const { return call.asked_at > 0 && call.since.has_value(); }
+  bool whole_list_next(const Call& call) const;
+  void erase(CallId call);
+  void open(double now, Actions& actions);
+  void ask(double now, Call& call, Actions& actions);
+  void close_others(CallId but, Actions& actions);
+  void close_one_of_two(double now, Actions& actions);
+  bool all_in_doubt(double now) const;
+  double pause_after_empty(double now, const Call& call, const Answer& answer);
+  double jittered(double ms, double least_share);
+
+  SubscriptionRules rules_;
+  std::minstd_rand random_;
+  std::vector<Call> calls_;        // two at most, the oldest first
+  std::optional<ListIndex> known_; // the version that changes can be asked from
+  ListIndex told_ = 0;             // the last version that this discovery has told
+  bool complete_ = false;          // this discovery has told a whole list
+  CallId last_call_ = 0;
+  double reopen_at_ = 0;       // no connection is opened before
+  double pause_ms_ = 0;        // the last one, before jitter
+  bool changes_asked_ = false; // by the last call
+  bool resync_ = false;        // an answer was of no use: only the whole list will do
+  std::uint32_t failures_ = 0,
+                doubts_ = 0; // since the last sound answer: calls that ended, calls that were doubted
+  std::uint32_t empty_in_a_row_ = 0;
+};
+
+} // namespace fernward::discovery
--- a/src/exchange/driver.cpp
+++ b/src/exchange/driver.cpp
@@ -9,6 +9,12 @@
 
 using fernward::Result;
 
+namespace {
+
+constexpr std::size_t kBurst = 4; // events at once; in an even flow there are one to three
+
+} // namespace
+
 Driver::Driver(event_base* base, loop::Deadlines& deadlines, fernward::Balancer balancer,
                const fernward::Settings& settings, bodies::Account& bytes, const DriverOptions& options)
     : deadlines_(deadlines),
@@ -192,6 +198,7 @@
 }
 
 void Driver::pump() {
+  if (events_.size() >= kBurst && look_) look_();
   while (!events_.empty()) {
     const fernward::Event event = std::move(events_.front());
     events_.pop_front();
--- a/src/exchange/driver.h
+++ b/src/exchange/driver.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <deque>
+#include <functional>
 #include <string>
 #include <unordered_set>
 
@@ -27,6 +28,9 @@
          const fernward::Settings& settings, bodies::Account& bytes, const DriverOptions& options);
 
   void attach(ClientSide& clients, EgressSide& egress) { clients_ = &clients, egress_ = &egress; }
+  // Called before a burst of events is decided on, as after a time in which the process was held up: what has come of
+  // discovery by then counts for all of them.
+  void before_bursts(std::function<void()> look) { look_ = std::move(look); }
 
   Handle open(Handle client, Call call); // 0: the table is full; `call`'s last byte has just come
   bool is_open(const std::string& id) const {
@@ -117,6 +121,7 @@
   std::unordered_set<std::string> open_ids_; // of exchanges that are not over
   std::size_t unanswered_ = 0;
   double ends_by_ = 0; // 0: no end is known
+  std::function<void()> look_;
   Figures given_up_{};
   loop::EventPtr pump_;
 };
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -25,7 +25,11 @@
 constexpr std::size_t kControlReserved = 4; // and these with the second address: half of the others lie idle
 constexpr double kAskMs = 2500;             // for the process that this one replaces to answer
 constexpr double kPassedMs = 5;             // passed connections that have not left are looked at this often
-constexpr int kCallbacksAtOnce = 64;        // of traffic, before the operators' calls are looked for again
+constexpr int kCallbacksAtOnce =
+    64; // of traffic, before discovery and the operators' calls are looked for again
+// A new process waits this long for discovery's first list before it serves from the list that it had last: what discovery
+// has counts as told from the process's first moment. In an outage it serves from the old list then.
+constexpr double kFirstListMs = 2000;
 
 std::size_t reserved(const config::Config& config) {
   return config::kReserved + (config.control.empty() ? 0 : kControlReserved);
@@ -99,6 +103,17 @@
   return longest > 0 ? longest : kLongestWaitedMs;
 }
 
+// Where lists are pushed a change counts at once, and half of the grace may pass before discovery is asked again. Where they
+// are asked for it counts later, and discovery is one service that all routers load.
+discovery::SubscriptionRules subscription_rules(const config::Config& config) {
+  discovery::SubscriptionRules rules;
+  const bool pushed = config.settings.discovery == fernward::Discovery::Push;
+  rules.max_pause_ms = pushed ? std::min(config.limits.drain_grace_ms / 2, rules.max_useless_pause_ms)
+                              : rules.max_useless_pause_ms;
+  rules.first_pause_ms = std::min(rules.first_pause_ms, rules.max_pause_ms);
+  return rules;
+}
+
 ingress::Rules ingress_rules(const config::Config& config) {
   return {config.names, config.settings, config.map, config.make_ids};
 }
@@ -111,13 +126,13 @@
 
 } // namespace
 
-BasePtr make_base(bool priorities) {
+BasePtr make_base() {
   event_config* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER); // deadlines of some milliseconds
-  if (priorities) event_config_set_max_dispatch_interval(config, nullptr, kCallbacksAtOnce, 1);
+  event_config_set_max_dispatch_interval(config, nullptr, kCallbacksAtOnce, 1);
   BasePtr base(event_base_new_with_config(config));
   event_config_free(config);
-  if (base != nullptr && priorities) event_base_priority_init(base.get(), 2); // all else is in the second
+  if (base != nullptr) event_base_priority_init(base.get(), 2); // all else is in the second
   if (base == nullptr) throw std::runtime_error("libevent: no event base");
   return base;
 }
@@ -140,13 +155,14 @@
       listener_(base, deadlines_, account_, buffers_, bytes_, bodies_, figures_,
                 listener_options(config, from), ingress_rules(config), listener_calls()) {
   driver_.attach(listener_, pool_);
+  driver_.before_bursts([this] {
+    if (next_watch_ != nullptr) next_watch_->look();
+    if (watch_ != nullptr) watch_->look();
+  });
   if (config_.movable) take_log_rules(config_.log);
   add_gauges();
   if (from != nullptr) bans_.adopt(from->welcome.known);
-  if (from != nullptr && !from->welcome.list.empty()) {
-    config_.known = config::parse_json(from->welcome.list); // newer than the file's
-  }
-  take_known();
+  take_first_list(from);
   if (!config_.handover.empty()) {
     SuccessionOptions options{config_.handover, config_.name,      config_.listen,
                               places(config_),  reserved(config_), config_.memory_mb};
@@ -251,23 +267,49 @@
           [this](const std::string& id) { return driver_.is_open(id); },
           [this](loop::Handle exchange) { driver_.body_whole(exchange); },
           [this](loop::Handle exchange) { driver_.client_gone(exchange); },
-          [this] { return table_.usable(); },
+          [this] { return known_waits_ == 0 && table_.usable(); },
           [this] { emptied(); },
           [this] { return pool_.let_go("recalled"); },
           [this](loop::Handle exchange) { driver_.drained(exchange); }};
 }
 
-void Router::take_known() {
-  if (config_.known.is_null()) return;
+// The list to begin with. The process that this one replaces has just been told its list. The one in the configuration may be
+// old: nothing is sent by it while discovery's own may still come, but changes are laid over it.
+void Router::take_first_list(const handover::Inherited* from) {
+  const bool inherited = from != nullptr && !from->welcome.list.empty();
+  if (inherited) config_.known = config::parse_json(from->welcome.list);
+  if (inherited || config_.nodes_fixed || config_.discovery.empty()) return take_known();
+  read_known();
+  known_waits_ = deadlines_.at(loop::now_ms() + kFirstListMs, [this] {
+    known_waits_ = 0;
+    log::line("known-list-used", {{"name", config_.name}, {"waited_ms", kFirstListMs}});
+    if (!table_.targets().empty()) spread(all_targets(fernward::ListKind::Cached));
+  });
+}
+
+bool Router::read_known() {
+  if (config_.known.is_null()) return false;
   try {
-    auto list = table_.apply(config_.known);
-    if (!config_.nodes_fixed) list.kind = fernward::ListKind::Cached;
-    spread(std::move(list));
+    table_.apply(config_.known);
+    return true;
   } catch (const routes::Damaged& damage) {
     log::line("known-damaged", {{"why", damage.what()}});
+    return false;
   }
 }
 
+void Router::take_known() {
+  if (!read_known()) return;
+  spread(all_targets(config_.nodes_fixed ? fernward::ListKind::Full : fernward::ListKind::Cached));
+}
+
+fernward::ServerList Router::all_targets(fernward::ListKind kind) const {
+  fernward::ServerList list;
+  list.kind = kind;
+  for (const auto& [id, target] : table_.targets()) list.servers.push_back(target.entry);
+  return list;
+}
+
 // Whoever tells the nodes from now on. The list that was told last stays until then.
 void Router::follow(const config::Config& next) {
   if (!next.nodes_file.empty()) {
@@ -283,7 +325,10 @@
     watch_ = watch(next.discovery);
   } else if (watch_->address() == next.discovery) {
     next_watch_.reset(); // back again before the other has told anything
-  } else if (next_watch_ == nullptr || next_watch_->address() != next.discovery) {
+    watch_->refresh();   // its open call may be one that is never answered
+  } else if (next_watch_ != nullptr && next_watch_->address() == next.discovery) {
+    next_watch_->refresh();
+  } else {
     // Whatever becomes of the old watch, the route table stays as it is until the new discovery tells its list.
     next_watch_ = watch(next.discovery);
   }
@@ -298,17 +343,32 @@
 
 std::unique_ptr<routes::Watch> Router::watch(const std::string& address) {
   return std::make_unique<routes::Watch>(
-      base_, deadlines_, address, [this, address](const std::string& text) { return take(text, address); });
+      base_, deadlines_, address,
+      discovery::Subscription(subscription_rules(config_), config_.seed, known_version()),
+      [this, address](const std::string& text, std::uint64_t at_least) {
+        return take(text, address, at_least);
+      });
 }
 
-std::uint64_t Router::take(const std::string& text, const std::string& from) {
-  spread(table_.apply(text));
-  // The first word of the new discovery, a whole list: the old one has no more say.
-  if (next_watch_ != nullptr && next_watch_->address() == from) {
+// Of the list that changes can be laid over.
+std::optional<std::uint64_t> Router::known_version() const {
+  if (table_.targets().empty()) return std::nullopt;
+  return table_.index();
+}
+
+discovery::Answer Router::take(const std::string& text, const std::string& from, std::uint64_t at_least) {
+  fernward::ServerList list = table_.apply(text, at_least);
+  const bool whole = list.kind == fernward::ListKind::Full;
+  if (known_waits_ != 0)
+    list = all_targets(fernward::ListKind::Full); // the module has not had the list below the changes
+  deadlines_.cancel(known_waits_);
+  spread(std::move(list));
+  // The first whole list of the new discovery: the old one has no more say.
+  if (whole && next_watch_ != nullptr && next_watch_->address() == from) {
     log::line("follows-discovery", {{"name", config_.name}, {"address", from}});
     watch_ = std::move(next_watch_);
   }
-  return table_.index();
+  return {table_.index(), whole};
 }
 
 // What discovery tells, with what the operators have said laid over it.
@@ -335,7 +395,7 @@
 
 // ---- the operators' calls ----
 
-bool Router::serves() const { return !winding_down_ && table_.usable(); }
+bool Router::serves() const { return !winding_down_ && known_waits_ == 0 && table_.usable(); }
 
 std::string Router::answer(const control::Call& call) {
   switch (call.word) {
@@ -397,7 +457,7 @@
   }
   if (next.discovery == config_.discovery) {
     log::line("reload-discovery-stays", {{"address", config_.discovery}});
-    return;
+    return follow(config_);
   }
   log::line("reload-discovery-moves", {{"from", config_.discovery}, {"to", next.discovery}});
   config_.discovery = next.discovery;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -31,8 +31,8 @@
   void operator()(event_base* base) const { event_base_free(base); }
 };
 using BasePtr = std::unique_ptr<event_base, BaseFree>;
-// `priorities`: the operators' calls go before traffic. Throws std::runtime_error.
-BasePtr make_base(bool priorities = false);
+// Discovery's lists and the operators' calls go before traffic. Throws std::runtime_error.
+BasePtr make_base();
 
 class Router {
  public:
@@ -65,7 +65,11 @@
 
  private:
   ingress::ListenerCalls listener_calls();
+  void take_first_list(const handover::Inherited* from);
+  bool read_known(); // into the table alone; false: there is none, or it is damaged
   void take_known();
+  fernward::ServerList all_targets(fernward::ListKind kind) const;
+  std::optional<std::uint64_t> known_version() const;
   void emptied();
   void follow(const config::Config& next);
   void move(config::Config next);
@@ -73,7 +77,7 @@
   std::unique_ptr<routes::FileWatch> watch_file(const std::string& path);
   void again(double every_ms, std::function<void()> what);
   void tell_figures();
-  std::uint64_t take(const std::string& text, const std::string& from);
+  discovery::Answer take(const std::string& text, const std::string& from, std::uint64_t at_least);
   void spread(fernward::ServerList list);
   std::string answer(const control::Call& call);
   std::string maintain(const control::Call& call);
@@ -103,6 +107,7 @@
   std::unique_ptr<Succession> succession_;  // null: without it
   std::unique_ptr<peering::Link> peers_;    // null: the routers share nothing
   std::unique_ptr<routes::FileWatch> file_; // where a file tells the nodes
+  loop::Deadlines::Ticket known_waits_ = 0; // the configuration's list, while discovery's own is awaited
   exchange::Driver::Figures told_{};        // given up when last told
   std::uint64_t ended_told_ = 0;            // requests ended when figures were last told
   bool winding_down_ = false;
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -899,8 +899,10 @@
   CHECK(client.answers.empty());
   CHECK(s.sent_on().empty());
   s.config["listen"] = "127.0.0.1:" + std::to_string(port);
+  const std::size_t calls = s.discovery.seen.size();
   Program again({"serve"}, s.config);
   REQUIRE(s.until([&] { return again.port() == port; }));
+  REQUIRE(s.until([&] { return s.discovery.seen.size() > calls + 1; })); // it has heard its list, and watches
   Raw once_more(port, get("/k/1", "r1"));
   REQUIRE(s.answered(once_more));
   CHECK(once_more.answers[0].status == 200);
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -548,3 +548,28 @@
   f.check_drain(f.discovery, loop::now_ms(), kAnswerHeardMs);
   CHECK(loop::now_ms() - failed_at < kHeardMs);
 }
+
+// guards: 300 routers that send to draining servers for up to 2 s after an outage of discovery: a call for the whole list that
+// was made in the outage is never answered, and no other one was open
+TEST_CASE("an outage of discovery: a change that it has as it returns is in force at once") {
+  constexpr double kGraceMs = 250;
+  Fleet f;
+  SUBCASE("of a router that watches") { f.start_watch(); }
+  SUBCASE("of a router that is started in it, with a list of its own") { f.start(); }
+  const std::size_t before = f.discovery.calls.size();
+  // It lasts for some calls, and ends in the moment in which one more has come.
+  REQUIRE(f.until([&] { return f.discovery.calls.size() >= before + 3; }, 15000));
+  const std::string drain = f.drain();
+  std::size_t answered = 0;
+  for (std::size_t call = 0; call < f.discovery.calls.size(); ++call) {
+    const bool for_changes = f.discovery.calls[call].asks_for_changes_since(kFirstIndex);
+    if (!for_changes || !f.discovery.is_open(call)) continue;
+    f.discovery.reply(call, drain);
+    ++answered;
+  }
+  CHECK(answered > 0);
+  f.discovery.on_call = [&](std::size_t call) {
+    if (f.discovery.calls[call].asks_for_whole_list()) f.discovery.reply(call, drain);
+  };
+  f.check_drain(f.discovery, loop::now_ms(), kGraceMs);
+}
--- a/tests/peering/processes_test.cpp
+++ b/tests/peering/processes_test.cpp
@@ -186,6 +186,8 @@
       configs.push_back(c);
       start(i);
     }
+    // Discovery is silent, as each router has a list of its own: they serve by it.
+    for (const auto& program : programs) REQUIRE(until([&] { return program->says("known-list-used"); }));
     if (!shares) return;
     REQUIRE(
         until([&] { return all([&](std::size_t i) { return figure(i, "fleet_heard") == kRouters - 1; }); }));
