Discovery: whole lists asked for rarely while calls are in doubt, refusals are not damage

Root cause: Subscription::whole_list_next asked for the whole list at every second call in doubt, 1.8 s apart; calls that were given up are worked off all the same, and 300 lists each 1.8 s are more than the capacity. A 503 counted as damage and was followed by a call for the whole list, too. Ruled out: calls for changes, which take some 60 bytes each.

Now the whole list is asked for after a call for changes that failed, and beside one in doubt at the 4th, 16th and 64th doubt. Held in virtual time by "in an outage the whole list is asked for rarely, and a call for changes is always open".

--- a/src/discovery/subscription.cpp
+++ b/src/discovery/subscription.cpp
@@ -1,6 +1,7 @@
 #include "discovery/subscription.h"
 
 #include <algorithm>
+#include <bit>
 #include <limits>
 
 namespace fernward::discovery {
@@ -25,6 +26,12 @@
 static_assert(kThreeSilentMs < 4000 - 250);
 static_assert(2 * (kDefaults.max_patience_ms + kComingMs) < 6000 - 250);
 
+// Of doubts in a row the 4th, the 16th and so on: after some 5, 27 and 110 s.
+bool is_rare(std::uint32_t doubts) {
+  const bool is_power_of_two = std::has_single_bit(doubts);
+  return is_power_of_two && doubts > 1 && std::countr_zero(doubts) % 2 == 0;
+}
+
 } // namespace
 
 Subscription::Subscription(const SubscriptionRules& rules, std::uint64_t seed, std::optional<ListIndex> known)
@@ -70,22 +77,24 @@
   actions.push_back(OpenConnection{call.id});
 }
 
-// Changes, as a rule. The whole list where there is nothing to go on from, and where this discovery answers and has not told
-// one yet. After a call for changes that failed, or beside one that is in doubt: discovery may have lost what it goes on from.
+// Changes, as a rule: they cost discovery little. The whole list where there is nothing to go on from, and where this discovery
+// answers and has not told one yet. Else discovery may have lost what a call for changes goes on from: the whole list is asked
+// for after one that failed, and now and then beside one that is in doubt, so rarely that an overload does not grow by it.
 bool Subscription::whole_list_next(const Call& call) const {
   if (!known_ || resync_) return true;
   if (failures() == 0) return !complete_;
   if (failures() == 1) return false;
+  if (changes_failed_) return true;
   const bool pending = std::any_of(calls_.begin(), calls_.end(), [&](const Call& other) {
     return other.id != call.id && asks_for_changes(other);
   });
-  return pending || changes_asked_;
+  return pending && is_rare(doubts_);
 }
 
 void Subscription::ask(double now, Call& call, Actions& actions) {
   const bool whole = whole_list_next(call);
   call.since = whole ? std::nullopt : known_;
-  changes_asked_ = !whole;
+  if (whole) changes_failed_ = false;
   call.wait_ms = whole ? 0 : failures() > 0 ? kAtOnceMs : rules_.poll_ms;
   const bool first = call.asked_at == 0; // on its connection: the time to connect counts, too
   call.asked_at = now;
@@ -150,11 +159,13 @@
 }
 
 void Subscription::failed(double now, CallId id, Failure failure, Actions& actions) {
-  if (find(id) == nullptr) return;
+  const Call* call = find(id);
+  if (call == nullptr) return;
+  changes_failed_ |= asks_for_changes(*call);
   erase(id);
   ++failures_;
   resync_ |= failure == Failure::Useless;
-  const double most = failure == Failure::Useless ? rules_.max_useless_pause_ms : rules_.max_pause_ms;
+  const double most = failure == Failure::Disconnected ? rules_.max_pause_ms : rules_.max_useless_pause_ms;
   pause_ms_ = std::clamp(2 * pause_ms_, rules_.first_pause_ms, most);
   reopen_at_ = now + jittered(pause_ms_, kLeastPauseShare);
   tick(now, actions);
--- a/src/discovery/subscription.h
+++ b/src/discovery/subscription.h
@@ -37,7 +37,7 @@
   double abandon_ms = 15000;         // a call that has waited for this long gives way to another
   double first_pause_ms = 25;        // before the next connection, after one that ended
   double max_pause_ms = 125;         // the same after many
-  double max_useless_pause_ms = 500; // after answers of no use, which cost discovery a whole list each
+  double max_useless_pause_ms = 500; // after refusals and answers of no use
   double min_empty_ms = 20;          // before the next call, after an empty answer that did not wait
   double max_empty_ms = 100; // the same after many; a subscription lapses 200 ms after its last answer
 };
@@ -45,7 +45,8 @@
 // How a call ended that brought no list.
 enum class Failure {
   Disconnected, // refused, reset or closed before an answer began
-  Useless,      // an answer that can't be read, breaks off, is out of date or says no
+  Refused,      // discovery is overloaded, and says so
+  Useless,      // an answer that can't be read, breaks off, is out of date or an error
 };
 
 // A sound answer: the list as of `index`.
@@ -124,10 +125,10 @@
   ListIndex told_ = 0;             // the last version that this discovery has told
   bool complete_ = false;          // this discovery has told a whole list
   CallId last_call_ = 0;
-  double reopen_at_ = 0;       // no connection is opened before
-  double pause_ms_ = 0;        // the last one, before jitter
-  bool changes_asked_ = false; // by the last call
-  bool resync_ = false;        // an answer was of no use: only the whole list will do
+  double reopen_at_ = 0;        // no connection is opened before
+  double pause_ms_ = 0;         // the last one, before jitter
+  bool changes_failed_ = false; // the last call for changes ended without an answer
+  bool resync_ = false;         // an answer was of no use: only the whole list will do
   std::uint32_t failures_ = 0,
                 doubts_ = 0; // since the last sound answer: calls that ended, calls that were doubted
   std::uint32_t empty_in_a_row_ = 0;
--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -19,6 +19,7 @@
 using discovery::CallId;
 using discovery::Failure;
 
+constexpr int kTooManyRequests = 429, kUnavailable = 503;
 constexpr std::size_t kLookBytes = 16 << 10; // of an answer that is looked for: as a rule one of changes
 constexpr std::uint64_t kMostList = 8 << 20; // bytes of an answer: some 50,000 endpoints
 // An answer with an earlier version than was told before is out of date, as from a replica that lags. A discovery that was
@@ -155,6 +156,9 @@
 void Watch::answered(Connection& connection, bool reusable) {
   const http::Message message = connection.parser.take();
   connection.asked = false;
+  if (message.status == kTooManyRequests || message.status == kUnavailable) {
+    return fail(connection, "refused", Failure::Refused);
+  }
   discovery::Answer answer;
   try {
     if (message.status != 200) throw Damaged("status " + std::to_string(message.status));
