Sidecar: a signal between fork and exec is not lost to the new process

Root cause: Beside::start (src/sidecar/beside.cpp) forked with libevent's handlers set. A SIGTERM that came before the child had put them back ran the inherited handler, which writes to the event loop's pipe of the parent, and was lost to the child. Class: a signal between fork and exec. Related: the lab's guardian, whose child ignores SIGTERM until it has reset it (lab/process/guardian.cpp); its own start blocks and resets nothing that is sent to it. The tests' own forks have no handlers.

Mended: all signals are blocked from before the fork until the child has its default actions (loop/blocked_signals.h), in both places.

Test: a preloaded library stops the child between the two, SIGTERM is seen pending, then it is continued.

--- a/lab/process/guardian.cpp
+++ b/lab/process/guardian.cpp
@@ -18,6 +18,7 @@
 #include <stdexcept>
 
 #include "lab/process/messages.h"
+#include "loop/blocked_signals.h"
 
 namespace fernward::rig {
 namespace {
@@ -61,6 +62,8 @@
 
   void launch(const ProgramStart& start, int output) {
     const pid_t keeper = getpid();
+    const loop::BlockedSignals
+        blocked; // the keeper ignores some: one that is sent to the program at once is not lost
     const pid_t pid = fork();
     if (pid == 0) become(start, output, keeper);
     ProgramNews news;
@@ -80,11 +83,7 @@
     setpgid(0, 0);
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != keeper) _exit(127); // it died before it could take us along
-    sigset_t none;
-    sigemptyset(&none);
-    sigprocmask(SIG_SETMASK, &none, nullptr);
-    for (const int number : {SIGINT, SIGTERM, SIGHUP, SIGPIPE})
-      ::signal(number, SIG_DFL); // what is ignored stays so
+    loop::BlockedSignals::deliver_by_default({SIGINT, SIGTERM, SIGHUP, SIGPIPE}); // what is ignored stays so
     if (start.descriptors > 0) {
       const rlimit most{start.descriptors, start.descriptors};
       setrlimit(RLIMIT_NOFILE, &most);
--- a/src/sidecar/beside.cpp
+++ b/src/sidecar/beside.cpp
@@ -19,6 +19,7 @@
 
 #include "config/address.h"
 #include "log/log.h"
+#include "loop/blocked_signals.h"
 #include "loop/deadlines.h"
 #include "loop/net.h"
 
@@ -184,6 +185,8 @@
   // The child's calls between fork and exec are safe in a process of one thread.
   pid_t start(const std::vector<std::string>& command, bool is_router) {
     const pid_t parent = getpid();
+    const loop::BlockedSignals
+        blocked; // in the child until its handlers are put back: one that comes before is not lost
     const pid_t pid = fork();
     if (pid < 0) {
       log::line("sidecar-cannot-start", {{"program", command.front()}, {"why", std::strerror(errno)}});
@@ -194,11 +197,8 @@
     prctl(PR_SET_PDEATHSIG, SIGTERM);
     if (getppid() != parent) _exit(kNotRun);
     if (is_router) setpgid(0, 0); // Ctrl-C is for the application: the router ends after it
-    sigset_t none;
-    sigemptyset(&none);
-    sigprocmask(SIG_SETMASK, &none, nullptr);
-    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGCHLD, SIGUSR1, SIGUSR2, SIGQUIT, SIGPIPE})
-      ::signal(number, SIG_DFL);
+    loop::BlockedSignals::deliver_by_default(
+        {SIGTERM, SIGINT, SIGHUP, SIGCHLD, SIGUSR1, SIGUSR2, SIGQUIT, SIGPIPE});
     if (!is_router) {
       for (const std::string& entry : programs_.environment) putenv(const_cast<char*>(entry.c_str()));
     }
--- a/tests/sidecar/sidecar_test.cpp
+++ b/tests/sidecar/sidecar_test.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <fstream>
 #include <string>
 
 #include "program.h"
@@ -36,6 +37,15 @@
   }
 };
 
+// A field of /proc/PID/status; empty: there is none.
+std::string status_of(pid_t process, const std::string& key) {
+  std::ifstream lines("/proc/" + std::to_string(process) + "/status");
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(key + ":\t")) return line.substr(key.size() + 2);
+  }
+  return "";
+}
+
 std::string read_of(const std::string& id) { // as get() of peers.h, for the class "read"
   return "GET /k/1 HTTP/1.1\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: read\r\n\r\n";
 }
@@ -206,6 +216,31 @@
   CHECK_FALSE(ended.says("begun"));
 }
 
+// guards: a SIGTERM in the moment of the router's start ran a handler that the new process had inherited, and was lost
+TEST_CASE(
+    "told to end while the router's process has not put its signal handlers back: it ends all the same") {
+  Beside s;
+  const std::string file = s.folder.write("app.toml", s.text("bookings"));
+  Program program(s.words(file, "echo begun"), Json::object(),
+                  {"LD_PRELOAD=" FERNWARD_HOLD_LIBRARY, "ASAN_OPTIONS=verify_asan_link_order=0"});
+  REQUIRE(s.until([&] { return program.says(" restarts=0"); }));
+  const pid_t router = Beside::process(program, "sidecar-router-started");
+  const auto status = [&](const std::string& key) { return status_of(router, key); };
+  REQUIRE(s.until([&] { return status("State").starts_with("T"); }));
+  program.signal(SIGTERM);
+  const auto sigterm_pends = [&] {
+    return (std::stoull(status("ShdPnd"), nullptr, 16) >> (SIGTERM - 1) & 1) == 1;
+  };
+  REQUIRE(s.until(sigterm_pends));
+  kill(router, SIGCONT);
+  const double told = loop::now_ms();
+  REQUIRE(s.until([&] { return program.ended(); }));
+  INFO(program.text);
+  CHECK(loop::now_ms() - told < 4000); // not after the 10 s that its drain may take
+  CHECK(program.code == 143);
+  CHECK_FALSE(program.says("begun"));
+}
+
 TEST_CASE("reload under load: broken, mended, a class renamed while its requests are open, none is lost") {
   Beside s;
   const std::string file = s.folder.write("app.toml", s.text("bookings"));
