--- a/include/fernward/choice.h
+++ b/include/fernward/choice.h
@@ -263,6 +263,13 @@
   };
   Ledger ledger() const;
 
+  // What slow start has decided since the beginning, over all caches. For figures.
+  struct SlowStart {
+    std::uint64_t sent = 0;      // attempts at caches in slow start
+    std::uint64_t held_back = 0; // times that such a cache was a candidate and was passed over for that
+  };
+  SlowStart slow_start() const;
+
   // What this node has seen itself of the caches in service, to be told to others: hearsay is not passed on.
   struct Finding {
     ServerId server = 0;
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -164,6 +164,8 @@
   return {impl_->ledger_demand, impl_->origin_limit.limit(), impl_->origin_limit.lately_ms(impl_->now)};
 }
 
+Balancer::SlowStart Balancer::slow_start() const { return impl_->slow_start; }
+
 void Balancer::on(double now, const Event& event, std::vector<Action>& actions) {
   impl_->now = now;
   impl_->actions = &actions;
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -50,6 +50,7 @@
   double living = 0, ledger_demand = -1; // nodes in service, attempts wanted at the origin; as far as known
   bool ticking = false, subscribed = false, asked = false, leaving = false;
   double ask_at = 0, ask_wait = 0, logged_at = kNever;
+  SlowStart slow_start; // what it has decided
 
   Impl(const Settings& s, std::uint64_t seed);
   void take_classes(); // settings.cpp
@@ -85,7 +86,7 @@
   void take(const Request& in);
   bool cold(const Replica& r) const { return now - r.cold_since < set.warm_after_ms; }
   double warmth(const Replica& r) const;
-  bool start_allows(const Replica& r, const Open& o, bool first) const;
+  bool start_allows(const Replica& r, const Open& o, bool first);
   bool usable(const Replica& r) const;
   bool repeatable(const Open& o, const Replica& r) const {
     return (o.out == 0 || set.may_duplicate) && may_repeat(set, o, r.entry, now);
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -22,10 +22,12 @@
 
 // Guards a fresh cache against being pushed over: its own keys, cut to the capacity that it surely has. A
 // draw for each request, not a budget for each node: the sum is the same for three nodes and a thousand.
-bool Balancer::Impl::start_allows(const Replica& r, const Open& o, bool first) const {
+bool Balancer::Impl::start_allows(const Replica& r, const Open& o, bool first) {
   if (!cold(r)) return true;
   const double draw = Random{o.in.id ^ mix(r.entry.id)}.unit();
-  return draw < (first ? 1 : 0.5) * warmth(r);
+  const bool allowed = draw < (first ? 1 : 0.5) * warmth(r);
+  slow_start.held_back += !allowed;
+  return allowed;
 }
 
 bool Balancer::Impl::usable(const Replica& r) const {
@@ -133,6 +135,7 @@
     o.ran_cell = r.entry.cell;
   }
   o.attempts.push_back({r.entry.id, now});
+  slow_start.sent += !is_origin(r) && cold(r);
   ++o.out;
   ++r.open;
   if (is_origin(r)) origin_places.sent(now, r.working() - 1);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -249,6 +249,7 @@
                           {"sends", figures_.sends()},
                           {"current", figures_.current()}});
   }
+  tell_slow_start();
   if (peers_ != nullptr) {
     const shared::Counts c = peers_->fleet().counts();
     log::line("fleet", {{"living", peers_->fleet().members().living()},
@@ -262,6 +263,14 @@
   if (!fields.empty()) log::line("given-up", fields.data(), fields.size());
 }
 
+void Router::tell_slow_start() {
+  const fernward::Balancer::SlowStart now = driver_.balancer().slow_start();
+  const fernward::Balancer::SlowStart before = std::exchange(slow_start_told_, now);
+  if (now.sent == before.sent && now.held_back == before.held_back) return;
+  log::line("slow-start",
+            {{"sent", now.sent - before.sent}, {"held_back", now.held_back - before.held_back}});
+}
+
 ingress::ListenerCalls Router::listener_calls() {
   return {[this](loop::Handle client, exchange::Call call) { return driver_.open(client, std::move(call)); },
           [this](const std::string& id) { return driver_.is_open(id); },
@@ -357,12 +366,18 @@
 }
 
 discovery::Answer Router::take(const std::string& text, const std::string& from, std::uint64_t at_least) {
+  const double begun = loop::now_ms();
   fernward::ServerList list = table_.apply(text, at_least);
   const bool whole = list.kind == fernward::ListKind::Full;
+  const std::size_t entries = list.servers.size();
   if (known_waits_ != 0)
     list = all_targets(fernward::ListKind::Full); // the module has not had the list below the changes
   deadlines_.cancel(known_waits_);
   spread(std::move(list));
+  log::routine("list-taken", {{"index", table_.index()},
+                              {"whole", whole ? "yes" : "no"},
+                              {"entries", entries},
+                              {"ms", loop::now_ms() - begun}});
   // The first whole list of the new discovery: the old one has no more say.
   if (whole && next_watch_ != nullptr && next_watch_->address() == from) {
     log::line("follows-discovery", {{"name", config_.name}, {"address", from}});
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -77,6 +77,7 @@
   std::unique_ptr<routes::FileWatch> watch_file(const std::string& path);
   void again(double every_ms, std::function<void()> what);
   void tell_figures();
+  void tell_slow_start();
   discovery::Answer take(const std::string& text, const std::string& from, std::uint64_t at_least);
   void spread(fernward::ServerList list);
   std::string answer(const control::Call& call);
@@ -109,7 +110,8 @@
   std::unique_ptr<routes::FileWatch> file_; // where a file tells the nodes
   loop::Deadlines::Ticket known_waits_ = 0; // the configuration's list, while discovery's own is awaited
   exchange::Driver::Figures told_{};        // given up when last told
-  std::uint64_t ended_told_ = 0;            // requests ended when figures were last told
+  fernward::Balancer::SlowStart slow_start_told_; // when last told
+  std::uint64_t ended_told_ = 0;                  // requests ended when figures were last told
   bool winding_down_ = false;
 };
 
