--- a/include/fernward/choice.h
+++ b/include/fernward/choice.h
@@ -80,6 +80,7 @@
   double warm_after_ms = 0;  // a started server is warm after this
   double start_capacity = 1; // and starts at this share of its capacity or more
   double tip_after_ms = 0;   // overloaded this long, a cold server falls over
+  double fall_multiple = 1;  // overloaded: sent more than this times its present capacity
   ResizeSettings resize;
 
   std::uint32_t attempts_of(std::uint32_t cls) const {
--- a/lab/rig/config.cpp
+++ b/lab/rig/config.cpp
@@ -59,12 +59,6 @@
   for (const auto& kind : spec.kinds) kinds.push_back(kind.name);
   kinds.push_back(model::kOriginKindName);
   for (const ReportField field : s.report_fields) columns.push_back(field_name(field));
-  double fall_multiple = 0;
-  for (const auto& kind : spec.kinds) {
-    if (kind.tip_ms > 0) {
-      fall_multiple = fall_multiple > 0 ? std::min(fall_multiple, kind.tip_multiple) : kind.tip_multiple;
-    }
-  }
   return {{"balancers", s.nodes},
           {"me", router},
           {"my_zone", zone},
@@ -109,7 +103,7 @@
             {"warm_after", s.warm_after_ms},
             {"start_capacity", s.start_capacity},
             {"tip_after", s.tip_after_ms},
-            {"fall_multiple", fall_multiple}}}};
+            {"fall_multiple", s.fall_multiple}}}};
 }
 
 json router_json(const Stage& stage, RouterId router, std::uint32_t moves, std::uint64_t seed, json known) {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -146,6 +146,7 @@
   obligations.range("warm_after", s.warm_after_ms);
   obligations.range("start_capacity", s.start_capacity, 1);
   obligations.range("tip_after", s.tip_after_ms);
+  obligations.range("fall_multiple", s.fall_multiple);
 
   const Part resize = from.part("resize");
   resize.range("settle", s.resize.settle_ms);
--- a/src/egress/pool.cpp
+++ b/src/egress/pool.cpp
@@ -52,17 +52,38 @@
 }
 
 void Pool::update(const std::map<fernward::ServerId, routes::Target>& targets) {
-  const auto before = std::exchange(targets_, targets);
-  for (const auto& [id, was] : before) {
-    const auto now = targets_.find(id);
-    if (!in_service(id)) {
-      close_free(id, "not-in-service");
-      if (now == targets_.end()) rests_.forget(id);
-    } else if (now->second.address != was.address || now->second.entry.booted_at != was.entry.booted_at) {
-      close_free(id, "restarted"); // these lead to the process before
-      rests_.forget(id);
-    }
+  std::vector<fernward::ServerId> gone;
+  for (const auto& [id, target] : targets_) {
+    if (!targets.contains(id)) gone.push_back(id);
+  }
+  for (const fernward::ServerId id : gone) update(id, nullptr);
+  for (const auto& [id, target] : targets) update(id, &target);
+}
+
+void Pool::update(fernward::ServerId id, const routes::Target* now) {
+  const auto found = targets_.find(id);
+  if (found == targets_.end()) {
+    if (now != nullptr) targets_.emplace(id, *now);
+    return;
   }
+  if (now == nullptr) {
+    targets_.erase(found);
+    close_free(id, "not-in-service");
+    rests_.forget(id);
+    return;
+  }
+  const routes::Target was = std::exchange(found->second, *now);
+  if (now->entry.state != ServerState::Ready) {
+    close_free(id, "not-in-service");
+  } else if (now->address != was.address || now->entry.booted_at != was.entry.booted_at) {
+    close_free(id, "restarted"); // these lead to the process before
+    rests_.forget(id);
+  }
+}
+
+const routes::Target* Pool::target(fernward::ServerId id) const {
+  const auto found = targets_.find(id);
+  return found == targets_.end() ? nullptr : &found->second;
 }
 
 // ---- an attempt ----
@@ -644,7 +665,9 @@
 }
 
 void Pool::close_free(fernward::ServerId target, const char* code) {
-  const auto handles = free_[target];
+  const auto free = free_.find(target);
+  if (free == free_.end()) return;
+  const auto handles = free->second;
   for (const Handle handle : handles) {
     if (Connection* c = connections_.find(handle)) close(*c, code);
   }
--- a/src/egress/pool.h
+++ b/src/egress/pool.h
@@ -45,6 +45,9 @@
 
   // What the route table holds now; targets that are missing are gone.
   void update(const std::map<fernward::ServerId, routes::Target>& targets);
+  // One target as it is now, at a cost that does not grow with their number; null: it is gone.
+  void update(fernward::ServerId id, const routes::Target* now);
+  const routes::Target* target(fernward::ServerId id) const; // as it was told last; null: there is none
 
   Start start(loop::Handle attempt, fernward::ServerId target, const exchange::CallPtr& call,
               double deadline) override;
--- a/src/exchange/driver.cpp
+++ b/src/exchange/driver.cpp
@@ -198,16 +198,24 @@
 }
 
 void Driver::pump() {
-  if (events_.size() >= kBurst && look_) look_();
+  look(events_.size() >= kBurst);
   while (!events_.empty()) {
     const fernward::Event event = std::move(events_.front());
     events_.pop_front();
     actions_.clear();
     balancer_.on(loop::now_ms(), event, actions_);
     for (const fernward::Action& action : actions_) carry_out(action);
+    look(false);
   }
 }
 
+void Driver::look(bool burst) {
+  const double now = loop::now_ms();
+  if (!look_ || (!burst && now - looked_at_ < options_.look_every_ms)) return;
+  look_();
+  looked_at_ = loop::now_ms();
+}
+
 void Driver::carry_out(const fernward::Action& action) {
   if (const auto* a = std::get_if<fernward::Send>(&action)) {
     send(*a);
--- a/src/exchange/driver.h
+++ b/src/exchange/driver.h
@@ -19,6 +19,7 @@
 struct DriverOptions {
   double grace_ms = 20;        // an answer may come this much after the client's deadline
   std::size_t open_cap = 4096; // exchanges at once
+  double look_every_ms = 25; // nothing is decided by what discovery had said so long ago, see before_bursts()
 };
 
 class Driver : public AttemptSide {
@@ -28,8 +29,8 @@
          const fernward::Settings& settings, bodies::Account& bytes, const DriverOptions& options);
 
   void attach(ClientSide& clients, EgressSide& egress) { clients_ = &clients, egress_ = &egress; }
-  // Called before a burst of events is decided on, as after a time in which the process was held up: what has come of
-  // discovery by then counts for all of them.
+  // Called before a burst of events is decided on, and between events once `look_every_ms` have passed, as after a list
+  // that took long: what has come of discovery by then counts for all that follow.
   void before_bursts(std::function<void()> look) { look_ = std::move(look); }
 
   Handle open(Handle client, Call call); // 0: the table is full; `call`'s last byte has just come
@@ -88,6 +89,7 @@
   static void pumped(int, short, void* self) { static_cast<Driver*>(self)->pump(); }
   void enqueue(fernward::Event event);
   void pump();
+  void look(bool burst);
   void carry_out(const fernward::Action& action);
   void send(const fernward::Send& send);
   void stop(Handle attempt, fernward::Result result);
@@ -122,6 +124,7 @@
   std::size_t unanswered_ = 0;
   double ends_by_ = 0; // 0: no end is known
   std::function<void()> look_;
+  double looked_at_ = 0;
   Figures given_up_{};
   loop::EventPtr pump_;
 };
--- a/src/ingress/listener.h
+++ b/src/ingress/listener.h
@@ -41,7 +41,7 @@
 };
 
 struct ListenerCalls {
-  std::function<loop::Handle(loop::Handle client, exchange::Call)> open; // 0: no room
+  std::function<loop::Handle(loop::Handle client, exchange::Call)> open; // 0: no room, or no list yet
   std::function<bool(const std::string& id)> is_open;                    // some client waits under this id
   std::function<void(loop::Handle exchange)> whole; // the last byte of a call has come, after open
   std::function<void(loop::Handle exchange)> gone;
--- a/src/maintenance/bans.cpp
+++ b/src/maintenance/bans.cpp
@@ -27,15 +27,25 @@
 
 void Bans::list(const std::vector<std::string>& names) {
   for (auto& [name, of] : names_) of.listed = false;
-  for (const std::string& name : names) {
-    Name& of = meet(name);
-    of.listed = true;
-    stay(of);
-  }
+  for (const std::string& name : names) listed(name);
   for (auto& [name, of] : names_) leave(name, of);
   forget();
 }
 
+void Bans::listed(const std::string& name) {
+  Name& of = meet(name);
+  of.listed = true;
+  stay(of);
+}
+
+void Bans::unlisted(const std::string& name) {
+  const auto found = names_.find(name);
+  if (found == names_.end()) return;
+  found->second.listed = false;
+  leave(name, found->second);
+  forget();
+}
+
 Bans::Said Bans::take_out(const std::string& name) {
   const auto found = names_.find(name);
   if (found == names_.end()) return Said::NeverListed;
--- a/src/maintenance/bans.h
+++ b/src/maintenance/bans.h
@@ -30,6 +30,10 @@
 
   void list(const std::vector<std::string>& names); // the cache nodes that discovery lists now, all of them
 
+  // The same of one cache node, at a cost that does not grow with their number.
+  void listed(const std::string& name);
+  void unlisted(const std::string& name);
+
   enum class Said { Yes, NeverListed, TooMany };
   Said take_out(const std::string& name);             // again: yes, and nothing changes
   Said put_back(double now, const std::string& name); // of one that is not out: yes, and nothing changes
--- a/src/model/settings.cpp
+++ b/src/model/settings.cpp
@@ -43,8 +43,10 @@
     }
     s.warm_after_ms = std::max(s.warm_after_ms, kind.warm_ms);
     if (kind.warm_ms > 0) s.start_capacity = std::min(s.start_capacity, kind.start_capacity);
-    if (kind.tip_ms > 0)
+    if (kind.tip_ms > 0) {
+      s.fall_multiple = s.tip_after_ms > 0 ? std::min(s.fall_multiple, kind.tip_multiple) : kind.tip_multiple;
       s.tip_after_ms = s.tip_after_ms > 0 ? std::min(s.tip_after_ms, kind.tip_ms) : kind.tip_ms;
+    }
   }
   return s;
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -5,8 +5,8 @@
 // past those that came lately stands before the key's former owner: the same answer as from a copy of the ring before,
 // over any number of changes, and a router that has just started can give it too, as the list tells when nodes started.
 //
-// `Members` is a map from id to Member, in the order of ids. `Member` has `Server entry` and `Seat seat`. Members outlive their points: one goes only after an arrange() in which
-// it was Gone.
+// `Members` is a map from id to Member. `Member` has `Server entry` and `Seat seat`. Members outlive their points: one goes only after an arrange() in which
+// it was Gone and changed.
 //
 //  - Units: milliseconds on the caller's clock, which only advances.
 //  - Size: by nodes, and fixed tables of keys; nothing grows with traffic. Of nodes that left 4,096 are remembered.
@@ -19,6 +19,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "fernward/choice.h"
@@ -41,20 +42,27 @@
 
   // ---- the list ----
 
-  // Takes a list as it is now. `on_ring(member)`: a cache that has a place, in service or draining.
+  // Takes the members that a list has changed, as they are now; of a whole list, all of them. Costs as many as these are,
+  // but for the rare change of the mean weight. `on_ring(member)`: a cache that has a place, in service or draining.
   template <typename Members, typename OnRing>
-  void arrange(double now, Members& members, bool weighted, OnRing on_ring) {
-    double sum = 0, count = 0;
-    for (const auto& [id, m] : members) {
-      if (on_ring(m)) sum += m.entry.weight, ++count;
-    }
+  void arrange(double now, Members& members, const std::vector<ServerId>& changed, bool weighted,
+               OnRing on_ring) {
+    bool doubtful = false;
+    for (const ServerId id : changed) doubtful |= weigh(members.at(id), on_ring);
+    if (doubtful) weigh_all(members);
     // A power of two near the mean weight: it seldom changes with the list.
-    const double unit = sum > 0 ? std::exp2(std::round(std::log2(sum / count))) : 1;
-    ring_.build(members, [&](const Member& m) -> std::int64_t {
-      if (!on_ring(m)) return 0;
-      return std::lround(kPoints * (weighted ? std::clamp(m.entry.weight / unit, 0.25, 4.0) : 1));
-    });
-    if (on()) note_changes(now, members, on_ring);
+    const double unit = weight_sum_ > 0 ? std::exp2(std::round(std::log2(weight_sum_ / weighed_))) : 1;
+    ring_.reserve(static_cast<std::size_t>(kPoints * weighed_));
+    const auto place = [&](ServerId id, Member& m) {
+      const double weight = weighted ? std::clamp(m.seat.weight / unit, 0.25, 4.0) : 1;
+      ring_.place(id, m, m.seat.weight > 0 ? std::lround(kPoints * weight) : 0);
+    };
+    if (weighted && std::exchange(unit_, unit) != unit) {
+      for (auto& [id, m] : members) place(id, m);
+    } else {
+      for (const ServerId id : changed) place(id, members.at(id));
+    }
+    if (on()) note_changes(now, members, changed, on_ring);
   }
 
   // ---- a choice ----
@@ -171,13 +179,28 @@
     return now < m.seat.joined_at + part * set_.settle_ms;
   }
 
+  // Counts the member's weight in the mean. True: it was the greater part of the sum, which is not exact without it.
+  template <typename OnRing>
+  bool weigh(Member& m, OnRing on_ring) {
+    const double had = std::exchange(m.seat.weight, on_ring(m) ? m.entry.weight : 0);
+    weight_sum_ += m.seat.weight - had;
+    weighed_ += (m.seat.weight > 0) - (had > 0);
+    return had > weight_sum_;
+  }
+  template <typename Members>
+  void weigh_all(Members& members) {
+    weight_sum_ = 0;
+    for (const auto& [id, m] : members) weight_sum_ += m.seat.weight;
+  }
+
   // Who came, went or started anew since the last list: whose keys are forgotten, and whether the pace holds from now on.
   template <typename Members, typename OnRing>
-  void note_changes(double now, Members& members, OnRing on_ring) {
+  void note_changes(double now, Members& members, const std::vector<ServerId>& listed, OnRing on_ring) {
     const bool first = !told_; // it tells nothing of who came when, but when nodes have started
     bool changed = false;
-    std::vector<ServerId> anew; // in order, as the members are
-    for (auto& [id, m] : members) {
+    std::vector<ServerId> anew;
+    for (const ServerId id : listed) {
+      Member& m = members.at(id);
       Seat& seat = m.seat;
       const bool serves = on_ring(m) && m.entry.state == ServerState::Ready;
       const bool restarted = seat.known && m.entry.booted_at > seat.booted_at;
@@ -193,6 +216,7 @@
       seat.known |= serves;
       if (seat.known) seat.booted_at = m.entry.booted_at;
     }
+    std::sort(anew.begin(), anew.end());
     if (!anew.empty()) {
       memory_.forget([&](ServerId id) { return std::binary_search(anew.begin(), anew.end(), id); });
     }
@@ -214,6 +238,8 @@
   };
   ResizeSettings set_;
   Ring<Member> ring_;
+  double weight_sum_ = 0, unit_ = 1; // of the members that have a place; what counts as a typical weight
+  int weighed_ = 0;                  // members
   KeyMemory memory_{kSlots};
   Popularity popularity_;
   Pace pace_;
--- a/src/placement/popularity.cpp
+++ b/src/placement/popularity.cpp
@@ -13,36 +13,22 @@
 } // namespace
 
 void Popularity::seen(std::uint64_t key) {
-  std::uint32_t least = UINT16_MAX;
-  for (std::size_t row = 0; row < kRows; ++row)
-    least = std::min<std::uint32_t>(least, counts_[place(row, key)]);
-  // Conservative update: raising the others as well would only raise the counts of keys that share them.
-  for (std::size_t row = 0; row < kRows && least < UINT16_MAX; ++row) {
-    std::uint16_t& c = counts_[place(row, key)];
-    if (c == least) ++c;
-  }
+  const std::uint32_t before = sketch_.add(key);
   for (Level& bar : bars_) {
     if (bar.share <= 0) {
       bar.level = kNoKey;
       continue;
     }
     if (bar.level == kNoKey) bar.level = kLeastLevel;
-    bar.level *= std::exp(kStep * ((least + 1 >= bar.level ? 1 : 0) - bar.share));
+    bar.level *= std::exp(kStep * ((before + 1 >= bar.level ? 1 : 0) - bar.share));
     bar.level = std::clamp(bar.level, kLeastLevel, kNoKey / 2);
   }
   if (++seen_ < kMostSeen) return;
   seen_ /= 2;
-  for (std::uint16_t& c : counts_) c /= 2;
+  sketch_.halve();
   for (Level& bar : bars_) {
     if (bar.level < kNoKey) bar.level = std::max(kLeastLevel, bar.level / 2);
   }
 }
 
-std::uint32_t Popularity::count(std::uint64_t key) const {
-  std::uint32_t least = UINT16_MAX;
-  for (std::size_t row = 0; row < kRows; ++row)
-    least = std::min<std::uint32_t>(least, counts_[place(row, key)]);
-  return least;
-}
-
 } // namespace fernward::placement
--- a/src/placement/popularity.h
+++ b/src/placement/popularity.h
@@ -1,29 +1,25 @@
 // Which keys are asked for often, and which of them make up a given share of the reads. Decides; no I/O, no clock.
 //
-// A count-min sketch whose counts are halved once it has seen ten times as many reads as it has places ("TinyLFU: A
-// highly efficient cache admission policy", Einziger, Friedman, Manes): a count is never too low for a key that is
-// still asked for, and too high only where a key shares all four of its places with others.
+// The counts of its sketch are halved once it has seen ten times as many reads as it has places ("TinyLFU: A highly
+// efficient cache admission policy", Einziger, Friedman, Manes).
 //
 //  - Units: counts of reads lately; shares from 0 to 1.
-//  - Size: fixed, 32 KiB. Nothing grows with the number of keys.
+//  - Size: fixed, that of the sketch.
 //  - Ownership: plain values; copies are independent.
 #pragma once
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <vector>
 
-#include "numbers/numbers.h"
+#include "placement/frequency_sketch.h"
 
 namespace fernward::placement {
 
 class Popularity {
  public:
-  Popularity() : counts_(kRows * kWidth, 0) {}
-
   void seen(std::uint64_t key);
-  std::uint32_t count(std::uint64_t key) const;
+  std::uint32_t count(std::uint64_t key) const { return sketch_.count(key); }
 
   // Is it among the keys that make up the first share of the reads, the most popular first? Each share has a bar of its
   // own that is moved with every read until so many of the reads are above it.
@@ -32,15 +28,11 @@
   void choose(double share) { bars_[Chosen].share = share; } // 0: no key
 
  private:
-  static constexpr std::size_t kRows = 4, kWidth = 4096;
-  static constexpr std::uint32_t kMostSeen = 10 * kWidth;
+  static constexpr std::uint32_t kMostSeen = 10 * FrequencySketch::kWidth;
   struct Level {
     double share, level;
   };
-  std::size_t place(std::size_t row, std::uint64_t key) const {
-    return row * kWidth + mix(key + row * 0x9e3779b97f4a7c15ull) % kWidth;
-  }
-  std::vector<std::uint16_t> counts_;
+  FrequencySketch sketch_;
   std::array<Level, kBars> bars_{{{0.2, 4}, {0.5, 4}, {0.8, 4}, {0, 4}}};
   std::uint32_t seen_ = 0;
 };
--- a/src/placement/ring.h
+++ b/src/placement/ring.h
@@ -1,13 +1,15 @@
 // Where keys live: consistent hashing with virtual nodes, the same at every node, so that a change of the list
 // moves few keys. Decides; no I/O, no clock.
 //
-// `Member` has a `Seat seat`; the ring points to members, which outlive their points: a member goes only after
-// a build() that gave it no place.
+// The points of the ring are dealt out to buckets by the first bits of their hash: a member that comes or goes touches the
+// buckets of its own points alone, however many members there are.
+//
+// `Member` has a `Seat seat`; the ring points to members, which outlive their points: a member goes only after it was
+// given no place.
 #pragma once
 
 #include <algorithm>
 #include <array>
-#include <bit>
 #include <cstddef>
 #include <cstdint>
 #include <utility>
@@ -20,7 +22,8 @@
 
 struct Seat { // what is kept at a member
   std::int64_t points = 0;
-  bool counted = false, stale = false; // scratch
+  double weight = 0;    // as it counts in the mean; 0: it has no place
+  bool counted = false; // scratch
   // See Placement.
   bool known = false, serves = false;            // it has been in service; it is now
   double joined_at = kNever, booted_at = kNever; // since when it can have been given keys; its start
@@ -29,27 +32,16 @@
 template <typename Member>
 class Ring {
  public:
-  // Changes only what the list changed: sorting all points at each message is most of a large fleet's CPU.
-  // `members`: any range of (id, member); `points(member)`: how many places it gets, 0 for none.
-  template <typename Members, typename Points>
-  void build(Members& members, Points points) {
-    std::vector<Point> added;
-    bool changed = false;
-    for (auto& [id, m] : members) {
-      const std::int64_t n = points(m);
-      m.seat.stale = n != m.seat.points;
-      if (!m.seat.stale) continue;
-      changed |= m.seat.points > 0;
-      m.seat.points = n;
-      for (std::int64_t i = 0; i < n; ++i) {
-        added.push_back({mix(mix(id) + static_cast<std::uint64_t>(i)), id, &m});
-      }
-    }
-    if (changed) std::erase_if(points_, [](const Point& p) { return p.member->seat.stale; });
-    sort(added);
-    const auto old = static_cast<std::ptrdiff_t>(points_.size());
-    points_.insert(points_.end(), added.begin(), added.end());
-    std::inplace_merge(points_.begin(), points_.begin() + old, points_.end(), before);
+  // Gives the member so many points; 0 for none.
+  void place(ServerId id, Member& m, std::int64_t points) {
+    const std::int64_t had = std::exchange(m.seat.points, points);
+    for (std::int64_t i = points; i < had; ++i) remove(hash_of(id, i), id);
+    for (std::int64_t i = had; i < points; ++i) insert({hash_of(id, i), id, &m});
+  }
+
+  // Makes room for so many points in all, so that a whole list is not dealt out again and again.
+  void reserve(std::size_t points) {
+    while (points > kFill * buckets_.size()) split_buckets();
   }
 
   // The first distinct members clockwise of the key that `usable` lets through; the others are walked past.
@@ -65,11 +57,17 @@
   // Each distinct member clockwise of the key, until `visit(member)` says no.
   template <typename Visit>
   void walk(std::uint64_t key, Visit visit) {
-    auto at = std::lower_bound(points_.begin(), points_.end(), mix(key),
-                               [](const Point& point, std::uint64_t h) { return point.hash < h; });
+    if (size_ == 0) return;
+    const std::uint64_t start = mix(key);
+    std::size_t bucket = bucket_of(start);
+    auto at = std::lower_bound(buckets_[bucket].begin(), buckets_[bucket].end(), start,
+                               [](const Point& point, std::uint64_t hash) { return point.hash < hash; });
     seen_.clear();
-    for (std::size_t i = 0; i < points_.size(); ++i, ++at) {
-      if (at == points_.end()) at = points_.begin();
+    for (std::size_t i = 0; i < size_; ++i, ++at) {
+      while (at == buckets_[bucket].end()) {
+        bucket = (bucket + 1) % buckets_.size();
+        at = buckets_[bucket].begin();
+      }
       Member* m = at->member;
       if (m->seat.counted) continue;
       m->seat.counted = true;
@@ -85,28 +83,44 @@
     ServerId id;
     Member* member;
   };
+  using Bucket = std::vector<Point>; // in the order of before()
+
+  static constexpr std::size_t kFill = 8; // points of a bucket, on average, at which the buckets are doubled
+
+  static std::uint64_t hash_of(ServerId id, std::int64_t number) {
+    return mix(mix(id) + static_cast<std::uint64_t>(number));
+  }
   static bool before(const Point& a, const Point& b) {
     return a.hash != b.hash ? a.hash < b.hash : a.id < b.id;
   }
-  // Hashes are spread evenly, so dealing them out by their first bits leaves next to nothing to sort: a list of a
-  // thousand nodes that comes whole must not hold the loop.
-  static void sort(std::vector<Point>& points) {
-    constexpr std::size_t kFew = 2048;
-    if (points.size() < kFew) return std::sort(points.begin(), points.end(), before);
-    const int bits = static_cast<int>(std::bit_width(points.size())) - 1;
-    std::vector<std::uint32_t> ends((std::size_t{1} << bits) + 1, 0);
-    const auto part = [bits](const Point& p) { return static_cast<std::size_t>(p.hash >> (64 - bits)); };
-    for (const Point& p : points) ++ends[part(p) + 1];
-    for (std::size_t i = 1; i < ends.size(); ++i) ends[i] += ends[i - 1];
-    std::vector<Point> dealt(points.size());
-    std::vector<std::uint32_t> next(ends.begin(), ends.end() - 1);
-    for (const Point& p : points) dealt[next[part(p)]++] = p;
-    for (std::size_t i = 0; i + 1 < ends.size(); ++i) {
-      std::sort(dealt.begin() + ends[i], dealt.begin() + ends[i + 1], before);
+  std::size_t bucket_of(std::uint64_t hash) const {
+    return bits_ == 0 ? 0 : static_cast<std::size_t>(hash >> (64 - bits_));
+  }
+  void insert(const Point& point) {
+    if (size_ >= kFill * buckets_.size()) split_buckets();
+    Bucket& bucket = buckets_[bucket_of(point.hash)];
+    if (bucket.empty()) bucket.reserve(kFill);
+    bucket.insert(std::upper_bound(bucket.begin(), bucket.end(), point, before), point);
+    ++size_;
+  }
+  void remove(std::uint64_t hash, ServerId id) {
+    size_ -= std::erase_if(buckets_[bucket_of(hash)],
+                           [hash, id](const Point& point) { return point.hash == hash && point.id == id; });
+  }
+  // Each bucket becomes two by the next bit; they keep their order.
+  void split_buckets() {
+    std::vector<Bucket> halves(2 * buckets_.size());
+    ++bits_;
+    if (size_ == 0) return buckets_.swap(halves);
+    for (const Bucket& bucket : buckets_) {
+      for (const Point& point : bucket) halves[bucket_of(point.hash)].push_back(point);
     }
-    points = std::move(dealt);
+    buckets_ = std::move(halves);
   }
-  std::vector<Point> points_;
+
+  std::vector<Bucket> buckets_{1};
+  int bits_ = 0;         // of a hash that name its bucket
+  std::size_t size_ = 0; // points
   std::vector<Member*> seen_;
 };
 
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -46,47 +46,79 @@
     return;
   }
   if (list.kind != ListKind::Cached && asked) subscribed = true, asked = false, ask_wait = 0;
+  std::vector<ServerId> changed;
+  for (const Server& server : list.servers) changed.push_back(server.id);
   if (list.kind != ListKind::Delta) {
-    std::vector<ServerId> named;
-    for (const Server& s : list.servers) named.push_back(s.id);
+    std::vector<ServerId> named = changed;
     std::sort(named.begin(), named.end());
     for (auto& [id, r] : replicas) {
-      if (!std::binary_search(named.begin(), named.end(), id)) r.entry.state = ServerState::Gone;
+      if (r.entry.state == ServerState::Gone || std::binary_search(named.begin(), named.end(), id)) continue;
+      Server gone = r.entry;
+      gone.state = ServerState::Gone;
+      update(gone);
+      changed.push_back(id);
     }
   }
-  for (Server s : list.servers) {
-    if (!usable_number(s.weight) || s.weight == 0) s.weight = 1;
-    if (!usable_number(s.booted_at)) s.booted_at = 0;
-    const auto [it, added] = replicas.try_emplace(s.id);
-    Replica& r = it->second;
-    const bool restarted = !added && s.booted_at > r.entry.booted_at;
-    r.entry = s;
-    if (restarted) r.forget();
-    if (added || restarted) r.gate = limits::Gate(set.nodes);
-    if (is_origin(r) && (added || restarted))
-      origin_limit = limits::Limiter::origin(set.nodes), origin_places = {};
-    if (s.booted_at > 0) r.cold_since = std::max(r.cold_since, s.booted_at);
+  for (const Server& server : list.servers) update(server);
+  arrange(changed);
+}
+
+// Costs the same however many servers there are.
+void Balancer::Impl::update(const Server& server) {
+  Server s = server;
+  if (!usable_number(s.weight) || s.weight == 0) s.weight = 1;
+  if (!usable_number(s.booted_at)) s.booted_at = 0;
+  const auto [it, added] = replicas.try_emplace(s.id);
+  Replica& r = it->second;
+  const bool was_gone = !added && r.entry.state == ServerState::Gone;
+  if (!added) tally(r, -1);
+  const bool restarted = !added && s.booted_at > r.entry.booted_at;
+  r.entry = s;
+  if (restarted) r.forget();
+  if (added || restarted) r.gate = limits::Gate(set.nodes);
+  if (is_origin(r) && (added || restarted))
+    origin_limit = limits::Limiter::origin(set.nodes), origin_places = {};
+  if (s.booted_at > 0) r.cold_since = std::max(r.cold_since, s.booted_at);
+  tally(r, 1);
+  if (is_origin(r)) {
+    origins.insert(s.id);
+  } else {
+    origins.erase(s.id);
   }
-  arrange();
+  if (s.state == ServerState::Gone && !was_gone) leaving.push_back(s.id);
 }
 
-void Balancer::Impl::arrange() {
+void Balancer::Impl::tally(const Replica& r, int sign) {
+  if (r.entry.state != ServerState::Ready) return;
+  caches += is_origin(r) ? 0 : sign;
+  ejected += r.health.out() ? sign : 0;
+}
+
+void Balancer::Impl::arrange(const std::vector<ServerId>& changed) {
   const bool settled = !places.pace().open(now);
-  places.arrange(now, replicas, set.weight_kind != WeightKind::Live,
+  places.arrange(now, replicas, changed, set.weight_kind != WeightKind::Live,
                  [this](const Replica& r) { return !is_origin(r) && r.entry.state != ServerState::Gone; });
   if (const double most = places.pace().per_ms(now); settled && most > 0)
     log("fleet changed, origin reads a second at most", 1000 * most);
   origin = nullptr;
-  caches = ejected = 0;
-  for (auto& [id, r] : replicas) {
-    const bool ready = r.entry.state == ServerState::Ready;
-    if (is_origin(r) && (origin == nullptr || ready)) origin = &r;
-    caches += ready && !is_origin(r);
-    ejected += ready && r.health.out();
-    leaving |= r.entry.state == ServerState::Gone;
+  for (const ServerId id : origins) {
+    Replica& r = replicas.at(id);
+    if (origin == nullptr || r.entry.state == ServerState::Ready) origin = &r;
   }
 }
 
+// Of those that are gone, what nothing is out at any more.
+void Balancer::Impl::drop_leaving() {
+  std::erase_if(leaving, [this](ServerId id) {
+    const Replica* r = find(id);
+    if (r == nullptr || r->entry.state != ServerState::Gone) return true; // it is back
+    if (r->open > 0 || r == origin) return false;
+    origins.erase(id);
+    replicas.erase(id);
+    return true;
+  });
+}
+
 // The configured number is a ceiling: to think oneself alone in a cut must not count for much.
 void Balancer::Impl::take(const FleetWord& e) {
   living =
@@ -129,20 +161,18 @@
     ask_at = now + (set.ask_every_ms > 0 ? set.ask_every_ms : kMaxAskMs); // no answer at all: ask again
   }
   pump_origin();
-  // The fleet is walked only where a probe may be due or one that is gone is to be dropped.
-  if (!(set.may_probe && (ejected > 0 || set.report_via == ReportVia::Probes)) && !leaving) return;
-  leaving = false;
+  drop_leaving();
+  if (set.may_probe && (ejected > 0 || set.report_via == ReportVia::Probes)) probe_due();
+}
+
+// Walks all servers: only where the settings allow probes.
+void Balancer::Impl::probe_due() {
   Replica* oldest = nullptr; // report
-  for (auto it = replicas.begin(); it != replicas.end();) {
-    Replica& r = it->second;
-    const bool can_probe = set.may_probe && r.entry.state == ServerState::Ready;
-    if (can_probe && r.health.out() && r.health.trial_due(now)) probe(r);
-    if (can_probe && !r.health.out() && !is_origin(r) &&
-        (oldest == nullptr || r.probed_at < oldest->probed_at))
+  for (auto& [id, r] : replicas) {
+    if (r.entry.state != ServerState::Ready) continue;
+    if (r.health.out() && r.health.trial_due(now)) probe(r);
+    if (!r.health.out() && !is_origin(r) && (oldest == nullptr || r.probed_at < oldest->probed_at))
       oldest = &r;
-    const bool gone = r.entry.state == ServerState::Gone && r.open == 0 && &r != origin;
-    leaving |= r.entry.state == ServerState::Gone && !gone && &r != origin;
-    it = gone ? replicas.erase(it) : std::next(it);
   }
   if (set.report_via == ReportVia::Probes && oldest != nullptr && probes >= 1) --probes, probe(*oldest);
 }
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "limits/places.h"
 #include "limits/queue.h"
 #include "limits/shedder.h"
+#include "placement/key_demand.h"
 #include "placement/placement.h"
 #include "policy/replica.h"
 #include "requests/request.h"
@@ -28,6 +30,7 @@
   std::vector<Action>* actions = nullptr;
   std::map<ServerId, Replica> replicas;
   placement::Placement<Replica> places;
+  placement::KeyDemand demand;
   Replica* origin = nullptr;
   limits::Limiter origin_limit = limits::Limiter::origin(1);
   limits::Places origin_places;
@@ -45,10 +48,12 @@
   double failing = 0;     // share of the caches' attempts that fail
   double fleet_queue = 0; // mean of the caches' reported queues
   double request_rate = 0, requests_now = 0;
-  std::size_t caches = 0, ejected = 0;
+  std::size_t caches = 0, ejected = 0;   // in service; and of those, left out
+  std::vector<ServerId> leaving;         // gone from the list, dropped once nothing is out there
+  std::set<ServerId> origins;            // that are listed
   double probes = 0;                     // saved up
   double living = 0, ledger_demand = -1; // nodes in service, attempts wanted at the origin; as far as known
-  bool ticking = false, subscribed = false, asked = false, leaving = false;
+  bool ticking = false, subscribed = false, asked = false;
   double ask_at = 0, ask_wait = 0, logged_at = kNever;
   SlowStart slow_start; // what it has decided
 
@@ -66,8 +71,12 @@
   void take(const TimerFired& e);
   void take(const FleetWord& e);
   void take(const FleetFinding& e);
-  void arrange();
+  void update(const Server& server);
+  void tally(const Replica& r, int sign);
+  void arrange(const std::vector<ServerId>& changed);
+  void drop_leaving();
   void probe(Replica& r);
+  void probe_due();
   void tick();
   Replica* find(ServerId id) {
     const auto it = replicas.find(id);
--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -20,12 +20,13 @@
   return set.start_capacity + (1 - set.start_capacity) * age;
 }
 
-// Guards a fresh cache against being pushed over: its own keys, cut to the capacity that it surely has. A
-// draw for each request, not a budget for each node: the sum is the same for three nodes and a thousand.
+// Guards a cache in slow start against being overloaded: its own keys, cut to the capacity that it surely has, and popular
+// ones to what one cache of this fleet can take of them. A draw for each request: the sum over all routers is the same
+// for three of them and a thousand.
 bool Balancer::Impl::start_allows(const Replica& r, const Open& o, bool first) {
   if (!cold(r)) return true;
   const double draw = Random{o.in.id ^ mix(r.entry.id)}.unit();
-  const bool allowed = draw < (first ? 1 : 0.5) * warmth(r);
+  const bool allowed = draw < (first ? 1 : 0.5) * o.slow_start_share * warmth(r);
   slow_start.held_back += !allowed;
   return allowed;
 }
@@ -58,6 +59,7 @@
     return conclude(o, Why::Shed);
   }
   act(SetTimer{o.end_at - now, token(Timer::End, in.id)});
+  o.slow_start_share = demand.request(now, in.key, caches, set.fall_multiple);
   if (in.write && set.origin_kind >= 0) return to_origin(o);
   places.read(now, in.key);
   if (!choose(o)) to_origin(o); // which concludes where there is none
@@ -79,10 +81,12 @@
 // The paper's choice among the key's candidates; false when there is none to send to.
 bool Balancer::Impl::choose(Open& o) {
   const std::uint64_t key = o.in.key != 0 ? o.in.key : mix(o.in.id);
-  const auto c = places.candidates(now, key, [&](const Replica& r) {
+  const auto may_be_asked = [&](const Replica& r) {
     return (now < r.full_until || o.missed_at(r.entry.id) || !o.tried(r.entry.id)) && repeatable(o, r) &&
            usable(r);
-  });
+  };
+  using Choice = decltype(places)::Choice;
+  const Choice c = caches == 0 ? Choice{} : places.candidates(now, key, may_be_asked); // all are walked past
   std::size_t best = c.size;
   double best_score = std::numeric_limits<double>::infinity();
   const double turn = origin_turn_ms();
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -48,6 +48,7 @@
   check(natural(s.ask_every_ms), "ask_every_ms");
   check(natural(s.warm_after_ms), "warm_after_ms");
   check(natural(s.tip_after_ms), "tip_after_ms");
+  check(natural(s.fall_multiple), "fall_multiple");
   check(natural(s.resize.settle_ms), "resize.settle_ms");
   check(s.resize.ledger_multiple == 0 || (natural(s.resize.ledger_multiple) && s.resize.ledger_multiple >= 1),
         "resize.ledger_multiple");
--- a/src/requests/request.h
+++ b/src/requests/request.h
@@ -36,6 +36,8 @@
   Request in;
   double end_at = 0; // its final answer goes out by then
   double value = 0;
+  double slow_start_share =
+      1; // of such requests, what a cache in slow start may be sent; see placement::KeyDemand
   std::vector<Attempt> attempts;
   std::vector<ServerId> missed;
   std::uint32_t out = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -45,7 +45,11 @@
 }
 
 exchange::DriverOptions driver_options(const config::Config& config) {
-  return {config.limits.grace_to_answer_ms, static_cast<std::size_t>(config.limits.open_cap)};
+  exchange::DriverOptions options;
+  options.grace_ms = config.limits.grace_to_answer_ms;
+  options.open_cap = static_cast<std::size_t>(config.limits.open_cap);
+  options.look_every_ms = config.limits.drain_grace_ms / 10; // the rest of the grace is for reading the list
+  return options;
 }
 
 egress::PoolOptions pool_options(const config::Config& config) {
@@ -272,7 +276,10 @@
 }
 
 ingress::ListenerCalls Router::listener_calls() {
-  return {[this](loop::Handle client, exchange::Call call) { return driver_.open(client, std::move(call)); },
+  return {[this](loop::Handle client, exchange::Call call) {
+            if (known_waits_ != 0) return loop::Handle{0}; // the list that the module has may be old
+            return driver_.open(client, std::move(call));
+          },
           [this](const std::string& id) { return driver_.is_open(id); },
           [this](loop::Handle exchange) { driver_.body_whole(exchange); },
           [this](loop::Handle exchange) { driver_.client_gone(exchange); },
@@ -283,16 +290,17 @@
 }
 
 // The list to begin with. The process that this one replaces has just been told its list. The one in the configuration may be
-// old: nothing is sent by it while discovery's own may still come, but changes are laid over it.
+// old: nothing is sent by it while discovery's own may still come, but changes are laid over it. The module has it all the
+// same, so that discovery's list costs it what has changed: a process that has just started must not be held up between
+// that list and the changes behind it.
 void Router::take_first_list(const handover::Inherited* from) {
   const bool inherited = from != nullptr && !from->welcome.list.empty();
   if (inherited) config_.known = config::parse_json(from->welcome.list);
   if (inherited || config_.nodes_fixed || config_.discovery.empty()) return take_known();
-  read_known();
+  if (read_known()) spread(all_targets(fernward::ListKind::Cached));
   known_waits_ = deadlines_.at(loop::now_ms() + kFirstListMs, [this] {
     known_waits_ = 0;
     log::line("known-list-used", {{"name", config_.name}, {"waited_ms", kFirstListMs}});
-    if (!table_.targets().empty()) spread(all_targets(fernward::ListKind::Cached));
   });
 }
 
@@ -370,8 +378,6 @@
   fernward::ServerList list = table_.apply(text, at_least);
   const bool whole = list.kind == fernward::ListKind::Full;
   const std::size_t entries = list.servers.size();
-  if (known_waits_ != 0)
-    list = all_targets(fernward::ListKind::Full); // the module has not had the list below the changes
   deadlines_.cancel(known_waits_);
   spread(std::move(list));
   log::routine("list-taken", {{"index", table_.index()},
@@ -388,11 +394,20 @@
 
 // What discovery tells, with what the operators have said laid over it.
 void Router::spread(fernward::ServerList list) {
+  if (list.kind == fernward::ListKind::Delta) {
+    for (fernward::Server& server : list.servers) spread_change(server);
+  } else {
+    spread_whole(list);
+  }
+  if (list.kind != fernward::ListKind::Delta || !list.servers.empty()) driver_.list(std::move(list));
+  if (succession_ != nullptr) succession_->began();
+}
+
+void Router::spread_whole(fernward::ServerList& list) {
   auto targets = table_.targets();
   std::vector<std::string> caches;
-  for (auto& [id, target] : targets) {
-    if (is_origin(target.entry)) continue;
-    caches.push_back(target.name);
+  for (const auto& [id, target] : targets) {
+    if (!is_origin(target.entry)) caches.push_back(target.name);
   }
   bans_.list(caches);
   for (auto& [id, target] : targets) target.entry = bans_.over(target.name, target.entry);
@@ -400,8 +415,24 @@
     if (const auto target = targets.find(server.id); target != targets.end()) server = target->second.entry;
   }
   pool_.update(targets);
-  if (list.kind != fernward::ListKind::Delta || !list.servers.empty()) driver_.list(std::move(list));
-  if (succession_ != nullptr) succession_->began();
+}
+
+// At a cost that does not grow with the number of targets: a process with a small share of a core must not be held up
+// past the grace of a drain by the changes of others.
+void Router::spread_change(fernward::Server& server) {
+  const routes::Target* const before = pool_.target(server.id);
+  const auto found = table_.targets().find(server.id);
+  const bool listed = found != table_.targets().end();
+  const bool cache = listed && !is_origin(found->second.entry);
+  if (before != nullptr && !is_origin(before->entry) && (!cache || found->second.name != before->name)) {
+    bans_.unlisted(before->name);
+  }
+  if (cache) bans_.listed(found->second.name);
+  if (!listed) return pool_.update(server.id, nullptr);
+  routes::Target target = found->second;
+  target.entry = bans_.over(target.name, target.entry);
+  server = target.entry;
+  pool_.update(server.id, &target);
 }
 
 bool Router::is_origin(const fernward::Server& entry) const {
@@ -459,10 +490,10 @@
 void Router::relist(const std::string& name) {
   fernward::ServerList list;
   list.kind = fernward::ListKind::Delta;
-  for (const auto& [id, target] : table_.targets()) {
-    if (target.name == name) list.servers.push_back(target.entry);
-  }
-  if (!list.servers.empty()) spread(std::move(list));
+  const auto target = table_.targets().find(routes::id_of(name));
+  if (target == table_.targets().end() || target->second.name != name) return;
+  list.servers.push_back(target->second.entry);
+  spread(std::move(list));
 }
 
 void Router::reload(const config::Config& next) {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -80,6 +80,8 @@
   void tell_slow_start();
   discovery::Answer take(const std::string& text, const std::string& from, std::uint64_t at_least);
   void spread(fernward::ServerList list);
+  void spread_whole(fernward::ServerList& list);
+  void spread_change(fernward::Server& server);
   std::string answer(const control::Call& call);
   std::string maintain(const control::Call& call);
   bool serves() const;
--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -191,9 +191,4 @@
   return out + "]}";
 }
 
-bool Table::usable() const {
-  return std::any_of(targets().begin(), targets().end(),
-                     [](const auto& t) { return t.second.entry.state == ServerState::Ready; });
-}
-
 } // namespace fernward::routes
--- a/src/routes/table.h
+++ b/src/routes/table.h
@@ -38,7 +38,7 @@
   std::string told() const; // the whole list, in discovery's form, where it is kept
   std::uint64_t index() const { return index_; }
   const std::map<fernward::ServerId, Target>& targets() const { return contents_.targets.holders(); }
-  bool usable() const; // some target is in service
+  bool usable() const { return contents_.targets.in_service() > 0; } // some target is in service
   std::uint64_t dropped_entries() const {
     return dropped_entries_;
   } // of messages that were taken, since the start
--- a/src/routes/target_set.cpp
+++ b/src/routes/target_set.cpp
@@ -36,7 +36,18 @@
   return found == last ? nullptr : &found->second;
 }
 
+bool TargetSet::serves(fernward::ServerId id) const {
+  const Target* held = holder(id);
+  return held != nullptr && held->entry.state == ServerState::Ready;
+}
+
 void TargetSet::put(const Target& target) {
+  in_service_ -= serves(target.entry.id);
+  replace(target);
+  in_service_ += serves(target.entry.id);
+}
+
+void TargetSet::replace(const Target& target) {
   const fernward::ServerId id = target.entry.id;
   const auto [it, added] = holders_.try_emplace(id, target);
   if (it->second.name != target.name || waiting_.contains(id)) return contend(target);
--- a/src/routes/target_set.h
+++ b/src/routes/target_set.h
@@ -2,6 +2,7 @@
 // it belongs to one of them at a time, and the others wait until that one drains or is gone.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -15,17 +16,21 @@
   // Adds the target or takes the place of the one of its name; a target that is Gone only ends that one.
   void put(const Target& target);
 
-  const Target* find(const std::string& name) const; // also one that waits; null: none
-  const Target* holder(fernward::ServerId id) const; // null: none
+  const Target* find(const std::string& name) const;     // also one that waits; null: none
+  const Target* holder(fernward::ServerId id) const;     // null: none
+  std::size_t in_service() const { return in_service_; } // of the holders
   const std::map<fernward::ServerId, Target>& holders() const {
     return holders_;
   } // of each number its holder
 
  private:
+  void replace(const Target& target);
   void contend(const Target& target);
+  bool serves(fernward::ServerId id) const;
 
   std::map<fernward::ServerId, Target> holders_;
   std::multimap<fernward::ServerId, Target> waiting_; // for their number; its holder has another name
+  std::size_t in_service_ = 0;
 };
 
 } // namespace fernward::routes
--- a/src/routes/watch.cpp
+++ b/src/routes/watch.cpp
@@ -20,7 +20,7 @@
 using discovery::Failure;
 
 constexpr int kTooManyRequests = 429, kUnavailable = 503;
-constexpr std::size_t kLookBytes = 16 << 10; // of an answer that is looked for: as a rule one of changes
+constexpr std::size_t kLookBytes = 16 << 10; // read at once, of an answer that is looked for
 constexpr std::uint64_t kMostList = 8 << 20; // bytes of an answer: some 50,000 endpoints
 // An answer with an earlier version than was told before is out of date, as from a replica that lags. A discovery that was
 // started anew may count from the beginning: where it says the same this often, it is believed.
@@ -103,7 +103,8 @@
   Connection& connection = *connections_.at(ask.call);
   connection.asked = true;
   const std::string text = http::write_request("GET", target_of(ask), address_, {}, "");
-  bufferevent_write(connection.io.get(), text.data(), text.size());
+  // At once, not from the loop: what discovery has meanwhile is to be there when the process looks for it next.
+  loop::write_or_wait(connection.io.get(), text);
 }
 
 // ---- what the sockets tell ----
@@ -194,25 +195,30 @@
 }
 
 void Watch::look() {
-  std::vector<CallId> asked;
-  for (const auto& [call, connection] : connections_) {
-    if (connection->asked) asked.push_back(call);
-  }
-  for (const CallId call : asked) {
-    const auto found = connections_.find(call); // what came on the other one may have closed it
-    if (found != connections_.end()) look(*found->second);
-  }
+  std::vector<CallId> calls;
+  for (const auto& [call, connection] : connections_) calls.push_back(call);
+  for (const CallId call : calls) look(call); // what comes on one may close the others
 }
 
-// Past libevent's buffer, which takes bytes from the event loop alone. What does not fit is read from there.
-void Watch::look(Connection& connection) {
-  if (!loop::pending_input(connection.io.get()).empty()) return read(connection);
+// Past libevent's buffer, which takes bytes from the event loop alone. An end is found again from there.
+void Watch::look(CallId call) {
+  Connection* connection = asked(call);
+  if (connection != nullptr && !loop::pending_input(connection->io.get()).empty()) read(*connection);
   std::array<char, kLookBytes> block;
-  std::size_t bytes = 0;
-  const int socket = bufferevent_getfd(connection.io.get());
-  if (loop::receive(socket, block.data(), block.size(), bytes) != loop::Received::Bytes) return;
-  const std::size_t used = connection.parser.feed({block.data(), bytes});
-  parsed(connection, used == bytes);
+  while ((connection = asked(call)) != nullptr) { // each round may end it
+    std::size_t bytes = 0;
+    const int socket = bufferevent_getfd(connection->io.get());
+    if (loop::receive(socket, block.data(), block.size(), bytes) != loop::Received::Bytes) return;
+    const std::size_t used = connection->parser.feed({block.data(), bytes});
+    parsed(*connection, used == bytes);
+    if (bytes < block.size()) return; // all that was there
+  }
+}
+
+// The connection of a call that an answer is due to; null: there is none.
+Watch::Connection* Watch::asked(CallId call) {
+  const auto found = connections_.find(call);
+  return found == connections_.end() || !found->second->asked ? nullptr : found->second.get();
 }
 
 // ---- the log: the first failure, each other code, and the end of it ----
--- a/src/routes/watch.h
+++ b/src/routes/watch.h
@@ -46,7 +46,8 @@
   static void changed(bufferevent*, short what, void* connection);
   void read(Connection& connection);
   void event(Connection& connection, short what);
-  void look(Connection& connection);
+  void look(discovery::CallId call);
+  Connection* asked(discovery::CallId call);
   void parsed(Connection& connection, bool all);
   void answered(Connection& connection, bool reusable);
   discovery::Answer take(discovery::CallId call, const std::string& text);
--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -9,12 +9,14 @@
 
 namespace {
 long live_blocks = 0;
+long made_blocks = 0; // since the start
 }
 
 void* operator new(std::size_t size) {
   void* block = std::malloc(size);
   if (block == nullptr) throw std::bad_alloc();
   ++live_blocks;
+  ++made_blocks;
   return block;
 }
 void operator delete(void* block) noexcept {
--- a/tests/net/fleet_size_test.cpp
+++ b/tests/net/fleet_size_test.cpp
@@ -43,6 +43,7 @@
 
   // The CPU time of the process for each change of one server, over so many of them.
   double cpu_ms_of_change(int changes) {
+    tell(node_list(index_ + 1, false, {})); // the whole list has been worked off then
     const double before = program_->use().cpu_ms;
     for (int i = 0; i < changes; ++i) tell(node_list(index_ + 1, false, {change(i)}));
     return (program_->use().cpu_ms - before) / changes;
@@ -192,7 +193,7 @@
     for (std::size_t i = 1; i < kServers; ++i) members[routes::id_of(name_of(i))];
     members[routes::id_of(kApart)];
     placement::Ring<Member> ring;
-    ring.build(members, [](const Member&) { return kPoints; });
+    for (auto& [id, member] : members) ring.place(id, member, kPoints);
     const Member* const wanted = &members.at(routes::id_of(kApart));
     for (std::array<Member*, 1> first{}; first[0] != wanted;) {
       popular_ += 'p';
--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -33,9 +33,18 @@
   void list(const std::vector<Server>& servers) { // whole
     for (auto& [id, n] : nodes) n.entry.state = ServerState::Gone;
     for (const Server& s : servers) nodes[s.id].entry = s;
-    places.arrange(now, nodes, false, [](const Node& n) { return n.entry.state != ServerState::Gone; });
+    std::vector<ServerId> all;
+    for (const auto& [id, n] : nodes) all.push_back(id);
+    arrange(all);
     std::erase_if(nodes, [](const auto& n) { return n.second.entry.state == ServerState::Gone; });
   }
+  void arrange(const std::vector<ServerId>& changed, bool weighted = false) {
+    places.arrange(now, nodes, changed, weighted, [this](const Node& n) {
+      ++looked_at;
+      return n.entry.state != ServerState::Gone;
+    });
+  }
+  int looked_at = 0; // members that were looked at
   Placement::Choice ask(std::uint64_t key) {
     return places.candidates(now, key, [](const Node& n) { return n.entry.state == ServerState::Ready; });
   }
@@ -53,6 +62,46 @@
 
 } // namespace
 
+// guards: each change walked all members, and a process with a small share of a core was held up by it
+TEST_CASE("a change of one node looks at as many nodes in a fleet of 3,200 as in one of 200") {
+  const auto work_of_a_change = [](std::uint32_t fleet) {
+    Router r;
+    r.list(servers(1, fleet));
+    r.looked_at = 0;
+    r.nodes[7].entry.state = ServerState::Draining;
+    r.arrange({7}, true);
+    r.nodes[7].entry.state = ServerState::Gone;
+    r.arrange({7}, true);
+    r.nodes[fleet + 1].entry = {.id = fleet + 1};
+    r.arrange({fleet + 1}, true);
+    return r.looked_at;
+  };
+  CHECK(work_of_a_change(200) > 0);
+  CHECK(work_of_a_change(3200) == work_of_a_change(200));
+}
+
+// What is kept up change by change is what a whole list gives, weights and all.
+TEST_CASE("any sequence of changes leads to the same placement as a list of its result") {
+  rc::check([] {
+    Router changed, listed;
+    for (int step = 0; step < 40; ++step) {
+      const auto id = *rc::gen::inRange<std::uint32_t>(1, 30);
+      Node& node = changed.nodes[id];
+      node.entry.id = id;
+      node.entry.weight = *rc::gen::element(0.1, 0.7, 1.0, 4.0, 1e300);
+      node.entry.state = *rc::gen::element(ServerState::Ready, ServerState::Draining, ServerState::Gone);
+      changed.arrange({id}, true);
+    }
+    std::vector<ServerId> all;
+    for (const auto& [id, node] : changed.nodes) {
+      listed.nodes[id].entry = node.entry;
+      all.push_back(id);
+    }
+    listed.arrange(all, true);
+    for (std::uint64_t key = 1; key < 200; ++key) RC_ASSERT(changed.owner(key) == listed.owner(key));
+  });
+}
+
 TEST_CASE("a node more moves no more keys than its share, and the load stays even") {
   constexpr int kKeys = 60000;
   for (const std::uint32_t n : {8u, 20u, 200u}) {
--- /dev/null
+++ b/tests/policy/slow_start_use_test.cpp
@@ -0,0 +1,226 @@
+// What all routers of a tier together send to servers in slow start: at most the budget that the settings allow, in fleets
+// of any size, with popular keys, uneven load and routers that know nothing yet; and still their part of the work.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "numbers/numbers.h"
+#include "support.h"
+
+namespace fernward::testing {
+namespace {
+
+constexpr double kUtilization = 0.5; // of the fleet: a warm server's capacity is twice its mean load
+constexpr double kAnswerMs = 20;
+constexpr double kSlowStartMs = 9000;
+
+struct FleetSize {
+  std::uint32_t routers, caches;
+  double requests_per_s; // at a router, in the mean
+  const char* name;
+};
+
+struct Knowledge {
+  double lives_ms;    // of the routers, before the servers start anew
+  double new_routers; // share of them that starts with the servers
+  const char* name;
+};
+
+// Routers that share nothing, before caches that answer every request. Popularity is Zipf's, as 1 / (rank + 4).
+class Tier {
+ public:
+  Tier(const FleetSize& size, std::uint64_t seed) : size_(size), random_{seed} {
+    for (std::uint32_t i = 0; i < size.routers; ++i) routers_.push_back(router(i));
+    for (std::uint32_t i = 1; i <= size.caches; ++i) caches_.push_back({.id = i});
+    caches_.push_back({.id = kOrigin, .kind = kOriginKind});
+    for (auto& r : routers_) on(*r, ServerList{ListKind::Full, caches_});
+    double sum = 0;
+    for (std::uint32_t rank = 0; rank < kKeys; ++rank) below_.push_back(sum += 1.0 / (rank + 4));
+  }
+
+  // Three in ten caches start anew, and the first so many of all keys' first owners with them.
+  void restart_caches() {
+    started_at_ = now_;
+    for (Server& cache : caches_) {
+      const bool popular = std::find(owners_.begin(), owners_.end(), cache.id) != owners_.end();
+      if (cache.kind == kOriginKind || (!popular && random_.unit() >= 0.3)) continue;
+      cache.booted_at = now_;
+      cold_[cache.id];
+    }
+    for (auto& r : routers_) on(*r, ServerList{ListKind::Full, caches_});
+  }
+  void restart_routers(double share) {
+    for (std::uint32_t i = 0; i < size_.routers; ++i) {
+      if (random_.unit() >= share) continue;
+      routers_[i] = router(1000 + i);
+      on(*routers_[i], ServerList{ListKind::Full, caches_});
+    }
+  }
+  void run(double ms) {
+    const double end = now_ + ms;
+    const double all_per_ms = size_.requests_per_s * size_.routers / 1000;
+    for (;;) {
+      now_ += -std::log(1 - random_.unit()) / all_per_ms;
+      if (now_ >= end) return;
+      // Uneven: a tenth of the routers gets a third of the requests.
+      const double drawn = random_.unit();
+      const double part = drawn < 0.33 ? 0.1 * random_.unit() : random_.unit();
+      request(*routers_[static_cast<std::size_t>(part * size_.routers)]);
+    }
+  }
+  // Of the most popular keys; asked for by nobody else, at routers that know nothing.
+  void find_owners(std::uint32_t keys) {
+    for (std::uint32_t rank = 0; rank < keys; ++rank) {
+      Tier alone({1, size_.caches, size_.requests_per_s, ""}, 1);
+      alone.request(*alone.routers_[0], rank);
+      owners_.push_back(alone.first_sent_);
+    }
+  }
+
+  // Of any cold cache in any time of tip_after: calls as a multiple of what the rule allows then.
+  double worst_load() const {
+    double worst = 0;
+    for (const auto& [id, times] : cold_) {
+      std::deque<double> window;
+      for (const double at : times) {
+        window.push_back(at);
+        while (window.front() < at - set_.tip_after_ms) window.pop_front();
+        worst = std::max(worst, static_cast<double>(window.size()) / allowed(at));
+      }
+    }
+    return worst;
+  }
+  // Calls at all cold caches, as a share of what their warmth of their mean load comes to.
+  double share_of_work() const {
+    double sent = 0, due = 0;
+    for (const auto& [id, times] : cold_) {
+      sent += static_cast<double>(times.size());
+      due += mean_load_per_ms() * (0.5 + 0.5 * set_.start_capacity) * (now_ - started_at_);
+    }
+    return sent / due;
+  }
+
+ private:
+  static constexpr std::uint32_t kKeys = 20000;
+  struct Router {
+    explicit Router(const Settings& s, std::uint64_t seed) : balancer(s, seed) {}
+    Balancer balancer;
+  };
+
+  Settings settings() const {
+    Settings s = aside_settings();
+    s.nodes = size_.routers;
+    s.warm_after_ms = kSlowStartMs;
+    s.start_capacity = 0.32;
+    s.fall_multiple = 4;
+    s.tip_after_ms = 2000;
+    return s;
+  }
+  std::unique_ptr<Router> router(std::uint64_t seed) const { return std::make_unique<Router>(set_, seed); }
+  double mean_load_per_ms() const { return size_.requests_per_s * size_.routers / 1000 / size_.caches; }
+  double allowed(double at) const {
+    const double warmth = set_.start_capacity + (1 - set_.start_capacity) * (at - started_at_) / kSlowStartMs;
+    const double n = set_.fall_multiple * warmth * mean_load_per_ms() / kUtilization * set_.tip_after_ms;
+    return n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
+  }
+
+  void request(Router& router) {
+    const double drawn = random_.unit() * below_.back();
+    const auto rank = std::lower_bound(below_.begin(), below_.end(), drawn) - below_.begin();
+    request(router, static_cast<std::uint32_t>(rank));
+  }
+  void request(Router& router, std::uint32_t rank) {
+    Request r;
+    r.id = ++last_id_;
+    r.key = mix(rank + 1);
+    r.deadline = now_ + 2000;
+    on(router, r);
+  }
+  // Every attempt is answered before anything else happens.
+  void on(Router& router, const Event& event) {
+    std::deque<Event> events{event};
+    std::map<RequestId, std::uint32_t> attempts;
+    while (!events.empty()) {
+      std::vector<Action> actions;
+      router.balancer.on(now_, events.front(), actions);
+      events.pop_front();
+      for (const Action& action : actions) {
+        const auto* send = std::get_if<Send>(&action);
+        if (send == nullptr) continue;
+        if (first_sent_ == 0) first_sent_ = send->server;
+        Outcome answer;
+        answer.result = take(send->server) ? Result::Ok : Result::Full;
+        answer.id = send->id;
+        answer.attempt = attempts[send->id]++;
+        answer.server = send->server;
+        answer.elapsed_ms = kAnswerMs;
+        answer.ended = answer.result == Result::Ok;
+        events.push_back(answer);
+      }
+    }
+  }
+
+  // False: a warm cache has had as much as it can do. Then popular keys are asked for elsewhere.
+  bool take(ServerId cache) {
+    const auto cold = cold_.find(cache);
+    if (cold != cold_.end()) cold->second.push_back(now_);
+    if (cold != cold_.end() || cache == kOrigin) return true;
+    std::deque<double>& calls = warm_[cache];
+    while (!calls.empty() && calls.front() < now_ - set_.tip_after_ms) calls.pop_front();
+    if (static_cast<double>(calls.size()) >= mean_load_per_ms() / kUtilization * set_.tip_after_ms)
+      return false;
+    calls.push_back(now_);
+    return true;
+  }
+
+  FleetSize size_;
+  Settings set_ = settings();
+  Random random_;
+  double now_ = 1e9, started_at_ = 0;
+  std::vector<std::unique_ptr<Router>> routers_;
+  std::vector<Server> caches_;
+  std::vector<double> below_;
+  std::vector<ServerId> owners_;
+  std::map<ServerId, std::vector<double>> cold_; // calls
+  std::map<ServerId, std::deque<double>> warm_;  // calls of the last tip_after
+  ServerId first_sent_ = 0;
+  RequestId last_id_ = 0;
+};
+
+class SlowStartUse : public ::testing::TestWithParam<std::tuple<FleetSize, Knowledge>> {};
+
+TEST_P(SlowStartUse, AllRoutersTogetherStayWithinTheBudgetOfEachServer) {
+  const auto& [size, knowledge] = GetParam();
+  Tier tier(size, 11);
+  tier.find_owners(3);
+  tier.run(knowledge.lives_ms);
+  tier.restart_caches();
+  tier.restart_routers(knowledge.new_routers);
+  tier.run(kSlowStartMs);
+  RecordProperty("worst_load", std::to_string(tier.worst_load()));
+  RecordProperty("share_of_work", std::to_string(tier.share_of_work()));
+  EXPECT_LE(tier.worst_load(), 1) << "share of the work " << tier.share_of_work();
+  if (knowledge.new_routers == 0) {
+    EXPECT_GE(tier.share_of_work(), 0.4) << "servers in slow start are starved";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, SlowStartUse,
+                         ::testing::Combine(::testing::Values(FleetSize{4, 14, 100, "FourRouters"},
+                                                              FleetSize{60, 40, 18, "SixtyRouters"},
+                                                              FleetSize{60, 640, 18,
+                                                                        "SixtyRoutersManyCaches"}),
+                                            ::testing::Values(Knowledge{60000, 0, "KnowingRouters"},
+                                                              Knowledge{30000, 0.7, "MostRoutersNew"},
+                                                              Knowledge{0, 1, "AllRoutersNew"})),
+                         [](const auto& fleet) {
+                           return std::string(std::get<0>(fleet.param).name) + std::get<1>(fleet.param).name;
+                         });
+
+} // namespace
+} // namespace fernward::testing
