--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 long live_blocks = 0;
 long made_blocks = 0; // since the start
-}
+} // namespace
 
 void* operator new(std::size_t size) {
   void* block = std::malloc(size);
@@ -108,5 +108,81 @@
   EXPECT_GT(run.sent, 20000);
 }
 
+// The allocations of one step of a node that knows so many caches, once all that is kept has its size.
+class FleetWork {
+ public:
+  explicit FleetWork(std::uint32_t caches) : balancer_(aside_settings(), 3) {
+    ServerList list{ListKind::Full, {{.id = kOrigin, .kind = kOriginKind}}};
+    for (std::uint32_t id = 1000; id < 1000 + caches; ++id) list.servers.push_back({.id = id});
+    feed(list);
+    for (int round = 0; round < kWarmUps; ++round) change(), tick(), request();
+  }
+
+  long change() { // a drain and a return
+    const long before = made_blocks;
+    feed(ServerList{ListKind::Delta, {{.id = 1007, .state = ServerState::Draining}}});
+    feed(ServerList{ListKind::Delta, {{.id = 1007}}});
+    return made_blocks - before;
+  }
+  long replace() { // one goes, and is dropped; another comes
+    feed(ServerList{ListKind::Delta, {{.id = newest_, .state = ServerState::Gone}}});
+    const long before = made_blocks;
+    feed(ServerList{ListKind::Delta, {{.id = ++newest_}}});
+    tick();
+    return made_blocks - before;
+  }
+  long tick() {
+    const long before = made_blocks;
+    now_ += kTickMs;
+    feed(TimerFired{tick_});
+    return made_blocks - before;
+  }
+  long request() { // and its answer
+    const long before = made_blocks;
+    const RequestId id = ++id_;
+    const ServerId server = feed(Request{.id = id, .key = 77, .deadline = now_ + 400});
+    Outcome answer;
+    answer.id = id;
+    answer.server = server;
+    answer.ended = true;
+    feed(answer);
+    return made_blocks - before;
+  }
+
+ private:
+  static constexpr int kWarmUps = 50;
+  static constexpr double kTickMs = 100;
+
+  ServerId feed(const Event& event) { // whom it sends to; 0: nobody
+    actions_.clear();
+    balancer_.on(now_, event, actions_);
+    ServerId sent_to = 0;
+    for (const Action& action : actions_) {
+      if (const auto* send = std::get_if<Send>(&action)) sent_to = send->server;
+      const auto* timer = std::get_if<SetTimer>(&action);
+      if (timer != nullptr && timer->delay_ms == kTickMs && tick_ == 0) tick_ = timer->token;
+    }
+    return sent_to;
+  }
+
+  Balancer balancer_;
+  std::vector<Action> actions_;
+  double now_ = 1000;
+  std::uint64_t tick_ = 0;
+  RequestId id_ = 0;
+  ServerId newest_ = 900'000;
+};
+
+// guards: the work of a change, a tick and a request that grows with the fleet
+TEST(Memory, AChangeATickAndARequestAllocateAsMuchWith3200CachesAsWith200) {
+  FleetWork few(200), many(3200);
+  EXPECT_GT(few.change(), 0);
+  EXPECT_EQ(many.change(), few.change());
+  EXPECT_EQ(many.tick(), few.tick());
+  EXPECT_EQ(many.request(), few.request());
+  constexpr long kBuckets = 64; // of the ring, one for each point: whether one of them grows is chance
+  EXPECT_LE(many.replace(), few.replace() + kBuckets);
+}
+
 } // namespace
 } // namespace fernward::testing
