--- a/src/policy/choose.cpp
+++ b/src/policy/choose.cpp
@@ -20,9 +20,9 @@
   return set.start_capacity + (1 - set.start_capacity) * age;
 }
 
-// Guards a cache in slow start against being overloaded: its own keys, cut to the capacity that it surely has,
-// and popular ones to what one cache of this fleet can take of them. A draw for each request: the sum over all
-// routers is the same for three of them and a thousand.
+// Guards a cache in slow start against being overloaded: its own keys, cut to the capacity that it surely
+// has, and popular ones to what one cache of this fleet can take of them. A draw for each request: the sum
+// over all routers is the same for three of them and a thousand.
 bool Balancer::Impl::start_allows(const Replica& r, const Open& o, bool first) {
   if (!cold(r)) return true;
   const double draw = Random{o.in.id ^ mix(r.entry.id)}.unit();
