--- a/src/config/json.h
+++ b/src/config/json.h
@@ -9,7 +9,7 @@
 constexpr int kMostNested = 64; // no list and no file has a tenth of it
 
 // Do so many brackets stand in one another? Those within strings do not count. One pass over the text: asking the parser
-// at every value made a list of thousands of servers three times as dear.
+// at every value made a long list twice as dear.
 inline bool too_deep(const std::string& text) {
   int depth = 0;
   bool in_string = false;
