A server connection is not reused while a duplicate of its last response may still arrive

Cause: response_complete() returned a connection to the pool at once, and take_idle() gave it to the next request if its socket was empty. A response that the server sends a second time, some milliseconds late, arrives behind that request and is read as its response. A 200 is served to the wrong client, a 404 sends the request to the origin beside its attempt, a 503 lets it be rejected.

Change: no request is written within 25 ms after a response (limits.reuse_delay_ms). Response and duplicate take the same path, so the delay does not depend on the round trip. An attempt that finds only such connections waits if that is as quick as a handshake, at the origin, or without a free descriptor, else opens another one; after the wait it passes the checks of an attempt whose connection is established. Surplus origin connections are kept for their last request's time after the delay.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -118,6 +118,7 @@
   if (limits.json.contains("answer_bytes")) limits.read_count("answer_bytes", config.max_response_bytes, 1);
   if (limits.json.contains("request_bytes")) limits.read_count("request_bytes", config.max_request_bytes, 1);
   if (limits.json.contains("body_folder_mb")) limits.read_count("body_folder_mb", config.spill_limit_mb, 1);
+  if (limits.json.contains("reuse_delay_ms")) limits.read_count("reuse_delay_ms", config.reuse_delay_ms);
   limits.read_optional("body_folder", config.spill_folder);
   if (config.max_descriptors < 64) throw Error("limits.sockets: must be 64 or more");
   if (const auto known = file.json.find("known"); known != file.json.end() && !known->is_null()) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -31,10 +31,11 @@
   std::uint32_t max_descriptors = 1024, memory_mb = 192;
   std::uint32_t max_response_bytes = 32 << 20; // the longest response that is forwarded
   std::uint32_t max_request_bytes = 32 << 20;  // the longest request body
-  std::string spill_folder;                    // for bodies that exceed the buffer budget; empty: no spill
-  std::uint32_t spill_limit_mb = 64;           // total size of spilled bodies
-  nlohmann::json known_endpoints;              // the last endpoint list of this router; null: none
-  nlohmann::json static_keys; // the keys of the file that are fixed until the process ends, as written
+  std::uint32_t reuse_delay_ms = 25; // of a server connection, see ConnectionPoolOptions::reuse_delay_ms
+  std::string spill_folder;          // for bodies that exceed the buffer budget; empty: no spill
+  std::uint32_t spill_limit_mb = 64; // total size of spilled bodies
+  nlohmann::json known_endpoints;    // the last endpoint list of this router; null: none
+  nlohmann::json static_keys;        // the keys of the file that are fixed until the process ends, as written
   fernward::Settings settings;
   Names names;
   Limits limits;
--- a/src/router/router_options.cpp
+++ b/src/router/router_options.cpp
@@ -52,6 +52,7 @@
   upstream::ConnectionPoolOptions options;
   options.connect_timeout_ms = config.limits.connect_timeout_ms;
   options.idle_timeout_ms = kIdleTimeoutFraction * config.limits.idle_timeout_ms;
+  options.reuse_delay_ms = config.reuse_delay_ms;
   options.scarce_kind = config.settings.origin_kind;
   options.load_report_fields = config.names.report_fields;
   options.response_limits.max_body_bytes = config.max_response_bytes;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "idle_connections/reuse_delay.h"
 #include "log/log.h"
 
 namespace fernward::upstream {
@@ -47,6 +48,10 @@
   return found != endpoints_.end() && found->second.server.state == ServerState::Ready;
 }
 
+bool ConnectionPool::is_scarce(ServerId endpoint) const {
+  return static_cast<std::int64_t>(endpoints_.at(endpoint).server.kind) == options_.scarce_kind;
+}
+
 bool ConnectionPool::matches_endpoint_address(const UpstreamConnection& connection) const {
   const EndpointIdentity& identity = connection.endpoint;
   return in_service(identity.id) && endpoints_.at(identity.id).address == identity.address;
@@ -115,10 +120,43 @@
   connection.first_request = connection.requests_served == 0;
   connection_by_attempt_[attempt] = connection.handle;
   if (connection.is(State::Connecting)) return;
+  if (now_ms() < connection.idle.reusable_at_ms) return await_reuse(connection);
+  write_request(connection);
+}
+
+void ConnectionPool::write_request(UpstreamConnection& connection) {
   connection.start_request();
   writer_.write(connection, endpoints_.at(connection.endpoint.id).address);
 }
 
+// The request is written when the reuse delay is over, unless it is cancelled before.
+void ConnectionPool::await_reuse(UpstreamConnection& connection) {
+  connection.await_reuse();
+  timers_.cancel(connection.timer);
+  connection.timer = timers_.run_at(connection.idle.reusable_at_ms, [this, handle = connection.handle] {
+    UpstreamConnection* const reusable = connections_.find(handle);
+    if (reusable == nullptr) return;
+    reusable->timer = 0;
+    on_reuse_delay_over(*reusable);
+  });
+}
+
+// Closes a connection on which nothing of its request was written, and starts the attempt on another one.
+void ConnectionPool::reassign(UpstreamConnection& connection, CloseReason reason) {
+  const Handle attempt = std::exchange(connection.attempt, 0);
+  const proxy::ClientRequestPtr request = std::move(connection.request);
+  const ServerId endpoint = connection.endpoint.id;
+  const double deadline_ms = connection.deadline_ms;
+  connection_by_attempt_.erase(attempt);
+  close(connection, reason);
+  const StartResult result = start(attempt, endpoint, request, deadline_ms);
+  if (result == StartResult::Started) return;
+  proxy::AttemptCompletion completion;
+  completion.result =
+      result == StartResult::NoEndpoint ? AttemptResult::ConnectFailed : AttemptResult::Abandoned;
+  attempts_.on_attempt_complete(attempt, std::move(completion));
+}
+
 UpstreamConnection* ConnectionPool::find_assigned(Handle attempt) {
   const auto found = connection_by_attempt_.find(attempt);
   return found == connection_by_attempt_.end() ? nullptr : connections_.find(found->second);
@@ -137,6 +175,10 @@
   if (connection->is(State::Connecting)) { // nothing was sent: the next attempt may use it
     connection->request.reset();
     add_to_free(*connection);
+  } else if (connection->is(State::AwaitingReuse)) { // the same
+    connection->request.reset();
+    const std::optional<CloseReason> reason = reason_not_to_pool(*connection);
+    reason ? close(*connection, *reason) : add_to_free_again(*connection);
   } else if (paused) { // not reusable: a response is outstanding
     close(*connection, CloseReason::ClientSlow);
   } else {
@@ -166,27 +208,25 @@
   const double now = now_ms();
   close_expired_idle(endpoint, now);
   if (UpstreamConnection* const idle = take_idle(endpoint, now)) return idle;
-  return take_connecting(endpoint);
+  if (UpstreamConnection* const connecting = take_connecting(endpoint)) return connecting;
+  return take_within_reuse_delay(endpoint, now);
 }
 
-// Takes the newest connection that is not stale, so that the oldest ones reach their idle timeout.
+// Takes the newest connection that may be reused now and is not stale, so that the oldest ones reach their
+// idle timeout.
 UpstreamConnection* ConnectionPool::take_idle(ServerId endpoint, double now) {
-  using Reuse = idle_connections::IdleLifetimeEstimator::Reuse;
   std::vector<Handle>& free_handles = free_by_endpoint_[endpoint];
   for (std::size_t i = free_handles.size(); i-- > 0;) {
     UpstreamConnection* const connection = connections_.find(free_handles[i]);
     if (connection == nullptr || !connection->is(State::Idle)) continue;
+    if (now < connection->idle.reusable_at_ms) continue;
     if (loop::peek(bufferevent_getfd(connection->socket.get())) != loop::Peek::NoData) {
       close(*connection, CloseReason::Stale); // removes it from `free_handles`
       i = std::min(i, free_handles.size());
       continue;
     }
-    IdleUse& idle = connection->idle;
-    const double idle_ms = now - idle.became_idle_at_ms;
-    const Reuse reuse = idle_lifetimes_.decide_reuse(now, endpoint, idle_ms);
-    if (reuse == Reuse::Refused) return nullptr; // the connections before it have been idle for longer
-    idle.before_request_ms = idle_ms;
-    idle.beyond_safe_lifetime = reuse == Reuse::Trial;
+    // The connections before it have been idle for longer.
+    if (!is_within_idle_lifetime(*connection, now)) return nullptr;
     free_handles.erase(free_handles.begin() + static_cast<std::ptrdiff_t>(i));
     timers_.cancel(connection->timer);
     return connection;
@@ -194,6 +234,38 @@
   return nullptr;
 }
 
+// Whether a request may be written to the connection after its idle time, which is recorded.
+bool ConnectionPool::is_within_idle_lifetime(UpstreamConnection& connection, double now) {
+  using Reuse = idle_connections::IdleLifetimeEstimator::Reuse;
+  IdleUse& idle = connection.idle;
+  const double idle_ms = now - idle.became_idle_at_ms;
+  const Reuse reuse = idle_lifetimes_.decide_reuse(now, connection.endpoint.id, idle_ms);
+  if (reuse == Reuse::Refused) return false;
+  idle.before_request_ms = idle_ms;
+  idle.beyond_safe_lifetime = reuse == Reuse::Trial;
+  return true;
+}
+
+// Takes the connection whose reuse delay ends first. Null: there is none, or opening another one is better.
+UpstreamConnection* ConnectionPool::take_within_reuse_delay(ServerId endpoint, double now) {
+  std::vector<Handle>& free_handles = free_by_endpoint_[endpoint];
+  for (std::size_t i = 0; i < free_handles.size(); ++i) {
+    UpstreamConnection* const connection = connections_.find(free_handles[i]);
+    if (connection == nullptr || !connection->is(State::Idle)) continue;
+    if (now >= connection->idle.reusable_at_ms) continue; // refused by take_idle()
+    idle_connections::ReuseDelayState delay;
+    delay.remaining_ms = connection->idle.reusable_at_ms - now;
+    delay.connect_ms = connection->connect_ms;
+    delay.scarce = is_scarce(endpoint);
+    delay.descriptors_short = descriptors_.required_eviction(now, descriptors::Side::Upstream) !=
+                              descriptors::DescriptorBudget::Eviction::None;
+    if (!idle_connections::should_await_reuse(delay)) return nullptr;
+    free_handles.erase(free_handles.begin() + static_cast<std::ptrdiff_t>(i));
+    return connection;
+  }
+  return nullptr;
+}
+
 // Takes the newest connection that is still connecting; its connect timeout stays in force.
 UpstreamConnection* ConnectionPool::take_connecting(ServerId endpoint) {
   std::vector<Handle>& free_handles = free_by_endpoint_[endpoint];
@@ -334,28 +406,46 @@
 }
 
 void ConnectionPool::read(UpstreamConnection& connection) {
-  if (!connection.is(State::Idle)) return receiver_.on_readable(connection);
+  const bool awaits_reuse = connection.is(State::AwaitingReuse);
+  if (!connection.is(State::Idle) && !awaits_reuse) return receiver_.on_readable(connection);
   const bool empty = loop::pending_input(connection.socket.get()).empty();
-  close(connection, empty ? CloseReason::PeerClosed : CloseReason::UnsolicitedBytes);
+  const CloseReason reason = empty ? CloseReason::PeerClosed : CloseReason::UnsolicitedBytes;
+  awaits_reuse ? reassign(connection, reason) : close(connection, reason);
+}
+
+// Nothing of the request is written yet. True: it no longer may be, and the attempt has been cancelled.
+bool ConnectionPool::abandon_unless_writable(const UpstreamConnection& connection) {
+  const Handle attempt = connection.attempt;
+  if (attempt == 0 || attempts_.may_write_request(attempt)) return false;
+  cancel(attempt);
+  proxy::AttemptCompletion completion;
+  completion.result = AttemptResult::Abandoned;
+  attempts_.on_attempt_complete(attempt, std::move(completion));
+  return true;
+}
+
+void ConnectionPool::on_reuse_delay_over(UpstreamConnection& connection) {
+  if (abandon_unless_writable(connection)) return;
+  // The endpoint may have been drained, restarted or moved meanwhile.
+  if (const std::optional<CloseReason> reason = reason_not_to_pool(connection))
+    return reassign(connection, *reason);
+  if (loop::peek(bufferevent_getfd(connection.socket.get())) != loop::Peek::NoData)
+    return reassign(connection, CloseReason::Stale);
+  if (!is_within_idle_lifetime(connection, now_ms()))
+    return reassign(connection, CloseReason::IdleLifetimeExceeded);
+  write_request(connection);
 }
 
 void ConnectionPool::on_connected(UpstreamConnection& connection) {
-  if (const Handle attempt = connection.attempt; attempt != 0 && !attempts_.may_write_request(attempt)) {
-    cancel(attempt); // still connecting: nothing of the request is sent, and the connection is kept
-    proxy::AttemptCompletion completion;
-    completion.result = AttemptResult::Abandoned;
-    attempts_.on_attempt_complete(attempt, std::move(completion));
-  }
+  connection.connect_ms = now_ms() - connection.opened_at_ms;
+  abandon_unless_writable(connection); // the connection is kept
   timers_.cancel(connection.timer);
   bufferevent_enable(connection.socket.get(), EV_READ | EV_WRITE);
   // The endpoint may have been removed or have changed its address meanwhile: no new request is sent there.
   if (!matches_endpoint_address(connection)) {
     return fail(connection, AttemptResult::ConnectFailed, CloseReason::NotInService);
   }
-  if (connection.attempt != 0) {
-    connection.start_request();
-    return writer_.write(connection, endpoints_.at(connection.endpoint.id).address);
-  }
+  if (connection.attempt != 0) return write_request(connection);
   remove_from_free(connection);
   remove_from_eviction(connection);
   return_to_pool(connection);
@@ -366,6 +456,7 @@
     return fail(connection, AttemptResult::ConnectFailed, CloseReason::ConnectFailed);
   }
   if (connection.is(State::Idle)) return close(connection, CloseReason::PeerClosed); // no request is affected
+  if (connection.is(State::AwaitingReuse)) return reassign(connection, CloseReason::PeerClosed);
   // Bytes received before the end are still unread; the end is detected again after them.
   if (end_of_input && connection.is(State::Paused)) return;
   if (end_of_input && connection.parser.end_of_input()) {
@@ -401,6 +492,7 @@
   if (!reason) reason = reason_not_to_pool(connection);
   if (reason) return close(connection, *reason);
   receiver_.set_direct_read(connection, false);
+  connection.idle.reusable_at_ms = now_ms() + options_.reuse_delay_ms;
   return_to_pool(connection);
 }
 
@@ -443,19 +535,27 @@
   const double now = now_ms();
   connection.become_idle(now);
   const double lifetime_ms = idle_lifetimes_.max_keep_ms(now, endpoint);
+  IdleUse& idle = connection.idle;
+  idle.close_reason =
+      lifetime_ms < options_.idle_timeout_ms ? CloseReason::IdleLifetimeExceeded : CloseReason::IdleTimeout;
+  idle.close_at_ms = now + lifetime_ms;
   // Other routers may need the connection slot at the endpoint, and this router has another idle connection.
-  const bool scarce = static_cast<std::int64_t>(endpoints_.at(endpoint).server.kind) == options_.scarce_kind;
   const double used_ms = now - connection.assigned_at_ms;
-  const bool surplus = scarce && free_by_endpoint_[endpoint].size() > 1 && used_ms < lifetime_ms;
-  CloseReason reason =
-      lifetime_ms < options_.idle_timeout_ms ? CloseReason::IdleLifetimeExceeded : CloseReason::IdleTimeout;
-  if (surplus) reason = CloseReason::Surplus;
-  const double due_ms = now + (surplus ? used_ms : lifetime_ms);
-  connection.timer = timers_.run_at(due_ms, [this, handle = connection.handle, reason] {
+  const double surplus_until_ms = std::max(now, idle.reusable_at_ms) + used_ms;
+  if (is_scarce(endpoint) && free_by_endpoint_[endpoint].size() > 1 && surplus_until_ms < idle.close_at_ms) {
+    idle.close_reason = CloseReason::Surplus;
+    idle.close_at_ms = surplus_until_ms;
+  }
+  start_idle_timeout(connection);
+}
+
+void ConnectionPool::start_idle_timeout(UpstreamConnection& connection) {
+  timers_.cancel(connection.timer);
+  connection.timer = timers_.run_at(connection.idle.close_at_ms, [this, handle = connection.handle] {
     UpstreamConnection* const idle = connections_.find(handle);
     if (idle == nullptr) return;
     idle->timer = 0;
-    close(*idle, reason);
+    close(*idle, idle->idle.close_reason);
   });
 }
 
@@ -470,6 +570,19 @@
   eviction_list_.splice(eviction_list_.end(), connection.eviction_node);
 }
 
+// A connection whose request was cancelled within its reuse delay takes its place among the idle ones again.
+void ConnectionPool::add_to_free_again(UpstreamConnection& connection) {
+  connection.reuse_cancelled();
+  add_to_free(connection);
+  std::vector<Handle>& free_handles = free_by_endpoint_[connection.endpoint.id];
+  const auto place = std::find_if(free_handles.begin(), free_handles.end(), [&](Handle handle) {
+    const UpstreamConnection* const other = connections_.find(handle);
+    return other != nullptr && other->idle.became_idle_at_ms > connection.idle.became_idle_at_ms;
+  });
+  if (place != free_handles.end()) std::rotate(place, free_handles.end() - 1, free_handles.end());
+  start_idle_timeout(connection);
+}
+
 void ConnectionPool::remove_from_free(const UpstreamConnection& connection) {
   const ServerId endpoint = connection.endpoint.id;
   const auto found = free_by_endpoint_.find(endpoint);
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -26,7 +26,8 @@
 namespace fernward::upstream {
 
 /// Owns the upstream connections, and assigns requests to them. Free connections are the idle ones, and those
-/// that are still connecting and whose request was cancelled.
+/// that are still connecting and whose request was cancelled. An idle connection is reused only when its reuse
+/// delay is over, see idle_connections/reuse_delay.h; a request may be assigned to it before and waits.
 class ConnectionPool : public proxy::UpstreamConnections, private ConnectionOwner {
  public:
   /// Closes a client connection to free a descriptor. False: no client connection can be closed.
@@ -65,6 +66,8 @@
   static void on_event(bufferevent*, short events, void* connection);
   void read(UpstreamConnection& connection);
   void on_connected(UpstreamConnection& connection);
+  void on_reuse_delay_over(UpstreamConnection& connection);
+  void write_request(UpstreamConnection& connection);
 
   // Callbacks from the writer and the receiver.
   void response_started(const UpstreamConnection& connection) override;
@@ -75,12 +78,18 @@
   // Assignment.
   UpstreamConnection* find_reusable(fernward::ServerId endpoint);
   UpstreamConnection* take_idle(fernward::ServerId endpoint, double now);
+  bool is_within_idle_lifetime(UpstreamConnection& connection, double now);
+  UpstreamConnection* take_within_reuse_delay(fernward::ServerId endpoint, double now);
   UpstreamConnection* take_connecting(fernward::ServerId endpoint);
   void assign(UpstreamConnection& connection, loop::Handle attempt, const proxy::ClientRequestPtr& request,
               double deadline_ms);
+  void await_reuse(UpstreamConnection& connection);
+  void reassign(UpstreamConnection& connection, CloseReason reason);
+  bool abandon_unless_writable(const UpstreamConnection& connection);
   UpstreamConnection* find_assigned(loop::Handle attempt);
   void complete_attempt(UpstreamConnection& connection, proxy::AttemptCompletion completion);
   bool in_service(fernward::ServerId endpoint) const;
+  bool is_scarce(fernward::ServerId endpoint) const;
   bool matches_endpoint_address(const UpstreamConnection& connection) const;
   std::optional<CloseReason> reason_not_to_pool(const UpstreamConnection& connection) const;
 
@@ -94,7 +103,9 @@
 
   // The free list and the eviction list.
   void return_to_pool(UpstreamConnection& connection);
+  void start_idle_timeout(UpstreamConnection& connection);
   void add_to_free(UpstreamConnection& connection);
+  void add_to_free_again(UpstreamConnection& connection);
   void remove_from_free(const UpstreamConnection& connection);
   void remove_from_eviction(UpstreamConnection& connection);
   void record_idle_use(const UpstreamConnection& connection, bool reset);
--- a/src/upstream/connection_pool_options.h
+++ b/src/upstream/connection_pool_options.h
@@ -16,6 +16,10 @@
   // Endpoints of this kind accept too few connections for all routers. If several connections to one are
   // idle, one that returns to the pool is kept only for as long as its last request took. -1: none.
   std::int64_t scarce_kind = -1;
+  // A server may send its last response a second time, some milliseconds late. Until this time after a
+  // response, no request is written to its connection, so that the duplicate cannot be read as the response
+  // to it.
+  double reuse_delay_ms = 25;
   std::vector<std::string> load_report_fields; // fields of the load report, in the order of the settings
   body_buffers::ResponseBufferingLimits response_limits;
   // Without a byte of the response received, or of the request body accepted.
--- a/src/upstream/upstream_connection.h
+++ b/src/upstream/upstream_connection.h
@@ -41,10 +41,13 @@
   double last_sent_at_ms = 0;
 };
 
-/// How long the connection was idle before its current request.
+/// The connection's time without a request, and how long it was idle before its current request.
 struct IdleUse {
-  double became_idle_at_ms = 0;      // when it became idle
-  double before_request_ms = -1;     // below 0: the current request is its first
+  double became_idle_at_ms = 0; // when it became idle
+  double reusable_at_ms = 0;    // end of the reuse delay, see ConnectionPoolOptions::reuse_delay_ms
+  double close_at_ms = 0;       // end of the idle timeout
+  CloseReason close_reason = CloseReason::IdleTimeout; // at the end of the idle timeout
+  double before_request_ms = -1;                       // below 0: the current request is its first
   bool beyond_safe_lifetime = false; // reused after being idle for longer than is estimated to be safe
 };
 
@@ -63,6 +66,9 @@
 ///   Connecting       --connected, a request is assigned-->  AwaitingResponse
 ///   Connecting       --connected, none is assigned-->       Idle
 ///   Idle             --request assigned-->                  AwaitingResponse
+///   Idle             --assigned within the reuse delay-->   AwaitingReuse
+///   AwaitingReuse    --reuse delay over-->                  AwaitingResponse
+///   AwaitingReuse    --request cancelled-->                 Idle
 ///   AwaitingResponse --head of a 200-->                     Buffering
 ///   AwaitingResponse --any other head-->                    Discarding
 ///   Buffering        --client accepts the response-->       Streaming
@@ -75,7 +81,16 @@
 /// own state (UploadProgress), as a response may start before the request is sent completely.
 class UpstreamConnection {
  public:
-  enum class State { Connecting, Idle, AwaitingResponse, Buffering, Streaming, Paused, Discarding };
+  enum class State {
+    Connecting,
+    Idle,
+    AwaitingReuse, // a request is assigned, and none of it is written
+    AwaitingResponse,
+    Buffering,
+    Streaming,
+    Paused,
+    Discarding
+  };
 
   explicit UpstreamConnection(std::uint64_t max_body_bytes)
       : parser(http::MessageKind::Response, max_body_bytes) {}
@@ -83,6 +98,8 @@
   bool is(State state) const { return state_ == state; }
 
   // The transitions.
+  void await_reuse() { state_ = State::AwaitingReuse; }
+  void reuse_cancelled() { state_ = State::Idle; }
   void start_request() { state_ = State::AwaitingResponse; }
   void head_received(bool needed) { state_ = needed ? State::Buffering : State::Discarding; }
   void buffering_ended(bool needed) { state_ = needed ? State::Streaming : State::Discarding; }
@@ -111,11 +128,12 @@
   DownloadProgress response;
   double deadline_ms = 0; // of the attempt
   double opened_at_ms = 0;
+  double connect_ms = 0; // how long it took to establish
   double assigned_at_ms = 0;
   double paused_ms = 0; // of the attempt: waiting for the client to read or to send
   bool first_request = true;
   unsigned requests_served = 0;
-  // Connect timeout, silence timeout of the upload or of the response, or idle timeout.
+  // Connect timeout, silence timeout of the upload or of the response, idle timeout, or reuse delay.
   loop::TimerQueue::TimerId timer = 0;
 
  private:
--- a/tests/net/scripted_peers.h
+++ b/tests/net/scripted_peers.h
@@ -77,7 +77,12 @@
     if (last_connection_ != nullptr && last_connection_->buffer_event != nullptr)
       send(last_connection_, text);
   }
-  // The same at once: on return the bytes are in the peer's socket, before any event loop runs.
+  // Writes on a connection, from the event loop. `index`: in the order in which they were accepted.
+  void write_to(std::size_t index, const std::string& text) {
+    if (index < connections_.size() && connections_[index]->buffer_event != nullptr)
+      send(connections_[index].get(), text);
+  }
+  // Like write_to_last() at once: on return the bytes are in the peer's socket, before any event loop runs.
   void write_to_last_now(const std::string& text) {
     if (last_connection_ == nullptr || last_connection_->buffer_event == nullptr) return;
     [[maybe_unused]] const auto n = ::send(bufferevent_getfd(last_connection_->buffer_event.get()),
