Requests that become complete after SIGTERM of an upgrade are answered before the process exits

Cause: the time of requests was limited in two places. RequestDispatcher::respond_to_all_by() changed those open at SIGTERM; Listener::set_shutdown_deadline() shortened later ones, and was called by schedule_drain() only, which an upgrade skips. They kept their timeout of 1.5 s, and the process exits 2.1 s after SIGTERM. On an ordinary SIGTERM the second place subtracted the time that a long body could still take, so that such a request had 1 ms left from its last byte on.

Change: the dispatcher alone limits deadlines, of requests that are open, opened later, or whose body becomes complete later; the listener only says that it is not ready, in an ordinary shutdown as before.

No connection, descriptor or CPU more; a request that cannot be answered in time fails 0.1 s before the exit in place of no response.

Tests, both failed before: "requests that are complete only after SIGTERM of an upgrade are answered before the process exits" (no response) and "a long body that is complete during a shutdown: its request has the remaining time" (503 in place of 200).

Related paths: an upgrade that fails after SIGTERM keeps the deadline, now for later requests too; SIGHUP changes none; streamed responses end with the process, which the client can tell; a partial request is not executed and its connection closed, as before.

--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -96,8 +96,8 @@
   // can be closed.
   bool evict_connection(const char* close_code);
 
-  // Graceful shutdown has begun: /ready answers 503, and new requests must be answered before `deadline`.
-  void set_shutdown_deadline(double deadline_ms) { shutdown_deadline_ms_ = deadline_ms; }
+  // Graceful shutdown has begun: /ready answers 503.
+  void set_not_ready() { not_ready_ = true; }
   void stop_accepting(); // accepts the pending connections, then closes the listening socket
   void drain();          // from now on each response announces the end of its connection
   void stop();           // like stop_accepting(), and also closes idle connections
@@ -244,8 +244,8 @@
   std::unique_ptr<evconnlistener, ListenerFree> listener_;
   std::string unix_path_; // to be removed at the end; empty: none
   bool draining_ = false, accepting_paused_ = false, stopped_ = false, accepting_held_ = false;
-  double shutdown_deadline_ms_ = 0; // 0: no shutdown is in progress
-  PassConnection pass_connection_;  // null: no handover is in progress
+  bool not_ready_ = false;         // a graceful shutdown is in progress
+  PassConnection pass_connection_; // null: no handover is in progress
   loop::TimerQueue::TimerId resume_timer_ = 0, pressure_timer_ = 0;
 };
 
--- a/src/downstream/requests.cpp
+++ b/src/downstream/requests.cpp
@@ -128,7 +128,7 @@
   connection.is_http_1_0 = request.is_http_1_0;
   if (request.method == "GET" && request.target == "/ready") {
     ++connection.request_count;
-    const bool ready = !draining_ && shutdown_deadline_ms_ == 0 && callbacks_.is_ready();
+    const bool ready = !draining_ && !not_ready_ && callbacks_.is_ready();
     const std::string text =
         http::write_response(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n", connection.keep_alive);
     return send_short_response(connection, text, connection.keep_alive, "done");
@@ -167,10 +167,6 @@
 void Listener::open_request(Connection& connection, proxy::ClientRequest request) {
   admission_.on_request_complete(now_ms(), connection.handle);
   connection.state = Connection::State::Waiting;
-  // With the shortened timeout the Balancer gives the request up in time.
-  if (shutdown_deadline_ms_ > 0)
-    request.timeout_ms = std::max(
-        1.0, std::min(request.timeout_ms, shutdown_deadline_ms_ - now_ms() - request.body_timeout_ms));
   const bool complete = request.body_timeout_ms == 0;
   connection.active_request = callbacks_.open_request(connection.handle, std::move(request));
   if (connection.active_request != 0) return;
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kBurstEvents = 4; // events pending at once; under steady load there are one to three
+constexpr double kMinTimeoutMs = 1;     // of a request that arrives in the last moments of a shutdown
 
 } // namespace
 
@@ -39,7 +40,7 @@
   active_request.request = std::make_shared<const ClientRequest>(std::move(request));
   // The timeout counts from the last byte of the request. A body is assumed to arrive as late as it may.
   const double body_complete_at = loop::now_ms() + active_request.request->body_timeout_ms;
-  active_request.deadline = body_complete_at + active_request.request->timeout_ms;
+  active_request.deadline = limit_to_shutdown(body_complete_at + active_request.request->timeout_ms);
   active_request.objective_at = active_request.deadline;
   if (active_request.request->class_index < settings_.classes.size()) {
     const fernward::ClassSettings& class_settings = settings_.classes[active_request.request->class_index];
@@ -72,20 +73,24 @@
   ActiveRequest* active_request = requests_.find(request_id);
   if (active_request == nullptr || active_request->finished || active_request->streaming_attempt != 0) return;
   // Positive if the body was complete later than open_request() assumed, negative if sooner.
-  const double extension_ms = loop::now_ms() + active_request->request->timeout_ms - active_request->deadline;
+  const double extension_ms =
+      limit_to_shutdown(loop::now_ms() + active_request->request->timeout_ms) - active_request->deadline;
   active_request->deadline += extension_ms;
   active_request->objective_at += extension_ms;
   timers_.cancel(active_request->deadline_timer);
-  double respond_at = active_request->deadline + options_.grace_ms / 2;
-  if (respond_to_all_by_ > 0) respond_at = std::min(respond_at, respond_to_all_by_);
-  active_request->deadline_timer =
-      timers_.run_at(respond_at, [this, request_id] { on_deadline(request_id); });
+  active_request->deadline_timer = timers_.run_at(active_request->deadline + options_.grace_ms / 2,
+                                                  [this, request_id] { on_deadline(request_id); });
   for (const Handle attempt_id : active_request->attempts) {
     if (Attempt* attempt = attempts_.find(attempt_id))
       set_attempt_deadline(*attempt, attempt_id, attempt->deadline + extension_ms);
   }
 }
 
+double RequestDispatcher::limit_to_shutdown(double deadline) const {
+  if (respond_to_all_by_ == 0) return deadline;
+  return std::min(deadline, std::max(respond_to_all_by_, loop::now_ms() + kMinTimeoutMs));
+}
+
 void RequestDispatcher::set_attempt_deadline(Attempt& attempt, Handle attempt_id, double deadline) {
   timers_.cancel(attempt.timeout);
   attempt.deadline = deadline;
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -59,7 +59,8 @@
   void client_disconnected(Handle request_id);
   // The client has received part of a streamed response, and more can be written.
   void response_drained(Handle request_id);
-  // Graceful shutdown: requests that have no final response by this time fail then.
+  // Graceful shutdown: requests that have no final response by this time fail then. Requests that are opened
+  // later get a deadline that is no later, so that the Balancer gives them up in time.
   void respond_to_all_by(double respond_by);
   void update_endpoints(fernward::EndpointList list);
   // Events derived from the gossip of the other routers, see gossip/balancer_exchange.h.
@@ -122,6 +123,7 @@
   bool is_streaming(const ActiveRequest& active_request, std::size_t number) const;
   // `already_started`: the attempt in question is counted in attempts_started and attempts_in_flight.
   bool may_send(const ActiveRequest& active_request, double now, bool already_started) const;
+  double limit_to_shutdown(double deadline) const;
   void set_attempt_deadline(Attempt& attempt, Handle attempt_id, double deadline);
   Handle client_of_streaming_attempt(Handle attempt_id);
   void resume_reading(Handle request_id);
--- a/src/router/graceful_shutdown.cpp
+++ b/src/router/graceful_shutdown.cpp
@@ -41,7 +41,7 @@
 }
 
 void GracefulShutdown::schedule_drain(double now_ms, double total_ms) {
-  parts_.listener.set_shutdown_deadline(now_ms + total_ms - kFailBeforeEndMs);
+  parts_.listener.set_not_ready();
   parts_.timers.run_at(now_ms + kAcceptingMs, [this] { parts_.listener.stop_accepting(); });
   parts_.timers.run_at(now_ms + std::max(kAcceptingMs, std::min(total_ms / 2, kMaxServingMs)), [this] {
     parts_.listener.drain();
--- a/tests/hot_restart/process_takeover_test.cpp
+++ b/tests/hot_restart/process_takeover_test.cpp
@@ -495,3 +495,52 @@
     CHECK(restarting_router.programs.back()->output_contains("hot-restart-complete"));
   }
 }
+
+// Guards against requests that are executed and never answered: they become complete after SIGTERM, with a
+// timeout that is longer than the rest of the old process's time.
+TEST_CASE(
+    "requests that are complete only after SIGTERM of an upgrade are answered before the process exits") {
+  RestartingRouter restarting_router;
+  Json& classes = restarting_router.config["settings"]["classes"];
+  classes.push_back({{"name", "once"}, {"repeat", "unsafe"}, {"worth", 1}});
+  for (auto& c : classes) c["aim"] = c["give_up"] = 100000;
+  const auto head_of = [](const std::string& request_line, const std::string& id) {
+    return request_line + " HTTP/1.1\r\nHost: h\r\nX-Timeout-Ms: 100000\r\nX-Request-ID: " + id;
+  };
+  const auto write_of = [&](const std::string& id, std::size_t body_bytes) {
+    return head_of("PUT /k/" + id, id) +
+           "\r\nX-Priority-Class: once\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+           std::string(body_bytes, 'b');
+  };
+  const std::string requests[] = {head_of("GET /k/1", "r1") + "\r\nX-Priority-Class: read\r\n\r\n",
+                                  write_of("r2", 1000), write_of("r3", 1 << 20)};
+  const ScriptedServer::Script no_response = [](const http::Message&) { return std::string(); };
+  for (ScriptedServer* peer :
+       {&restarting_router.cache_1, &restarting_router.cache_2, &restarting_router.origin})
+    peer->script = no_response;
+  TestProgram& old = restarting_router.start();
+  std::vector<std::unique_ptr<TestClient>> clients;
+  for (const std::string& request : requests) {
+    clients.push_back(std::make_unique<TestClient>(restarting_router.base.get(), restarting_router.port));
+    clients.back()->send(request.substr(0, request.size() / 2));
+  }
+  // The half of the long body that has arrived is forwarded, so that the other halves have been read as well.
+  REQUIRE(restarting_router.wait_until([&] { return restarting_router.origin.partial_body_bytes > 0; }));
+  restarting_router.start();
+  old.signal(SIGTERM);
+  REQUIRE(restarting_router.wait_until([&] { return old.output_contains("hot-restart-passing"); }));
+  for (std::size_t i = 0; i < clients.size(); ++i)
+    clients[i]->send(requests[i].substr(requests[i].size() / 2));
+  REQUIRE(restarting_router.wait_until([&] {
+    return restarting_router.cache_1.requests.size() + restarting_router.cache_2.requests.size() > 0 &&
+           restarting_router.origin.requests.size() == 2;
+  }));
+  REQUIRE(restarting_router.wait_until([&] { return old.has_exited(); }));
+  CHECK(old.exit_code == 0);
+  for (const auto& client : clients) {
+    REQUIRE(restarting_router.wait_until([&] { return !client->responses.empty() || client->closed; }));
+    REQUIRE(client->responses.size() == 1);
+    // The writes may have been executed and may not be repeated, so that they must not be rejected.
+    CHECK(client->responses[0].status == (client == clients.front() ? 503 : 502));
+  }
+}
--- a/tests/net/uploads_test.cpp
+++ b/tests/net/uploads_test.cpp
@@ -353,3 +353,23 @@
     CHECK(fixture.origin.requests.back().body == body_sent);
   }
 }
+
+// Guards against a request that fails a moment after its body, as the time that the body could have taken was
+// subtracted from the rest of the shutdown.
+TEST_CASE("a long body that is complete during a shutdown: its request has the remaining time") {
+  RouterFixture fixture;
+  fixture.origin.script = [](const http::Message&) { return std::string(); };
+  TestClient client = fixture.connect_client();
+  const std::string body(kMb, 'b');
+  const std::string head = request_head("r1", content_length_header(body.size()));
+  client.send(head.substr(0, head.size() / 2));
+  REQUIRE(fixture.wait_until([&] { return fixture.router->listener().connection_count() == 1; }));
+  fixture.router->begin_shutdown();
+  client.send(head.substr(head.size() / 2) + body);
+  REQUIRE(fixture.wait_until([&] { return fixture.origin.requests.size() == 1; }));
+  run_for(fixture.base.get(), 100); // far longer than it was given, and a twentieth of its timeout
+  fixture.origin.write_to_last(ok_response("written"));
+  REQUIRE(fixture.wait_until([&] { return !client.responses.empty() || client.closed; }));
+  REQUIRE(client.responses.size() == 1);
+  CHECK(client.responses[0].status == 200);
+}
