Fault test of slow clients records the request before its server can receive all of it

Cause, a fault of the test: at the stage `writing` the client has sent all of a long body, and the origin does not read. client-slow let the origin read on, ran the loop for 20 ms, and the request was recorded after that. Where the body arrived within the 20 ms, the recorder saw an attempt for a request that it did not know.

Change: the request is recorded, as before without a deadline, before the origin reads on. No check, bound or time changes; the other faults of this stage run no loop in between.

--- a/tests/faults/faults_test.cpp
+++ b/tests/faults/faults_test.cpp
@@ -168,6 +168,10 @@
     responses_before.try_emplace(id, client(id).responses.size());
     recorder.on_request(id, class_number(), expects_response);
   }
+  // The tested request is complete, or can become complete from now on. No response is required.
+  void record_request_if_unknown() {
+    if (!recorder.is_known(kTestedRequestId)) recorder.on_request(kTestedRequestId, class_number(), false);
+  }
   bool request_and_wait(const std::string& id) {
     begin_request(id);
     client(id).send(request(id, 1));
@@ -332,6 +336,7 @@
         }
       }
       client(kTestedRequestId).stop_reading();
+      record_request_if_unknown(); // the node may have all of it before the client reads again
       resume_node();
       run_for_ms(20);
       return client(kTestedRequestId).resume_reading();
@@ -489,7 +494,7 @@
       fixture.router->reload(config::parse(config.dump(), &no_environment));
     inject_fault();
     const bool never_requested = stage == "connected" && client_left; // no request was sent
-    if (!recorder.is_known(kTestedRequestId)) recorder.on_request(kTestedRequestId, class_number(), false);
+    record_request_if_unknown();
     if (!never_requested && !client_left)
       CHECK_MESSAGE(run_until([&] { return recorder.is_finished(kTestedRequestId); }),
                     "the client received neither a response nor the end of its connection");
