The pool's free connections have a class of their own

ConnectionPool kept the free connections in two lists that each place had to change together, in 600 lines with much else. FreeConnections owns both orders, by endpoint and by age; the pool adds, takes and removes with one call each. No behaviour changes.

--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -36,6 +36,7 @@
       attempts_(attempts),
       evict_client_connection_(std::move(evict_client_connection)),
       connections_(descriptors.total()),
+      free_(connections_),
       idle_lifetimes_(options.idle_timeout_ms),
       writer_(timers, connections_, stats, io_buffer_, *this, options.silence_timeout_ms),
       receiver_({base, timers, connections_, buffer_budget, io_buffer_, attempts, *this, writer_, options_}) {
@@ -111,7 +112,6 @@
 
 void ConnectionPool::assign(UpstreamConnection& connection, Handle attempt,
                             const proxy::ClientRequestPtr& request, double deadline_ms) {
-  remove_from_eviction(connection);
   connection.attempt = attempt;
   connection.request = request;
   connection.deadline_ms = deadline_ms;
@@ -174,11 +174,10 @@
   const ClientPause pause{connection->paused_ms + (ongoing ? now_ms() - paused_since_ms : 0), ongoing};
   if (connection->is(State::Connecting)) { // nothing was sent: the next attempt may use it
     connection->request.reset();
-    add_to_free(*connection);
+    free_.add(*connection);
   } else if (connection->is(State::AwaitingReuse)) { // the same
     connection->request.reset();
-    const std::optional<CloseReason> reason = reason_not_to_pool(*connection);
-    reason ? close(*connection, *reason) : add_to_free_again(*connection);
+    return_unused(*connection);
   } else if (paused) { // not reusable: a response is outstanding
     close(*connection, CloseReason::ClientSlow);
   } else {
@@ -215,7 +214,7 @@
 // Takes the newest connection that may be reused now and is not stale, so that the oldest ones reach their
 // idle timeout.
 UpstreamConnection* ConnectionPool::take_idle(ServerId endpoint, double now) {
-  std::vector<Handle>& free_handles = free_by_endpoint_[endpoint];
+  const std::vector<Handle>& free_handles = free_.of(endpoint);
   for (std::size_t i = free_handles.size(); i-- > 0;) {
     UpstreamConnection* const connection = connections_.find(free_handles[i]);
     if (connection == nullptr || !connection->is(State::Idle)) continue;
@@ -227,7 +226,7 @@
     }
     // The connections before it have been idle for longer.
     if (!is_within_idle_lifetime(*connection, now)) return nullptr;
-    free_handles.erase(free_handles.begin() + static_cast<std::ptrdiff_t>(i));
+    free_.remove(*connection);
     timers_.cancel(connection->timer);
     return connection;
   }
@@ -248,9 +247,8 @@
 
 // Takes the connection whose reuse delay ends first. Null: there is none, or opening another one is better.
 UpstreamConnection* ConnectionPool::take_within_reuse_delay(ServerId endpoint, double now) {
-  std::vector<Handle>& free_handles = free_by_endpoint_[endpoint];
-  for (std::size_t i = 0; i < free_handles.size(); ++i) {
-    UpstreamConnection* const connection = connections_.find(free_handles[i]);
+  for (const Handle handle : free_.of(endpoint)) {
+    UpstreamConnection* const connection = connections_.find(handle);
     if (connection == nullptr || !connection->is(State::Idle)) continue;
     if (now >= connection->idle.reusable_at_ms) continue; // refused by take_idle()
     idle_connections::ReuseDelayState delay;
@@ -260,7 +258,7 @@
     delay.descriptors_short = descriptors_.required_eviction(now, descriptors::Side::Upstream) !=
                               descriptors::DescriptorBudget::Eviction::None;
     if (!idle_connections::should_await_reuse(delay)) return nullptr;
-    free_handles.erase(free_handles.begin() + static_cast<std::ptrdiff_t>(i));
+    free_.remove(*connection);
     return connection;
   }
   return nullptr;
@@ -268,11 +266,11 @@
 
 // Takes the newest connection that is still connecting; its connect timeout stays in force.
 UpstreamConnection* ConnectionPool::take_connecting(ServerId endpoint) {
-  std::vector<Handle>& free_handles = free_by_endpoint_[endpoint];
+  const std::vector<Handle>& free_handles = free_.of(endpoint);
   for (std::size_t i = free_handles.size(); i-- > 0;) {
     UpstreamConnection* const connection = connections_.find(free_handles[i]);
     if (connection == nullptr || !connection->is(State::Connecting)) continue;
-    free_handles.erase(free_handles.begin() + static_cast<std::ptrdiff_t>(i));
+    free_.remove(*connection);
     return connection;
   }
   return nullptr;
@@ -280,11 +278,11 @@
 
 // The idle connections among the free ones are in the order in which they became idle.
 void ConnectionPool::close_expired_idle(ServerId endpoint, double now) {
-  const auto found = free_by_endpoint_.find(endpoint);
-  if (found == free_by_endpoint_.end() || found->second.empty()) return;
+  const std::vector<Handle>& free_handles = free_.of(endpoint);
+  if (free_handles.empty()) return;
   const double lifetime_ms = idle_lifetimes_.max_keep_ms(now, endpoint);
   std::vector<Handle> expired;
-  for (const Handle handle : found->second) {
+  for (const Handle handle : free_handles) {
     const UpstreamConnection* const connection = connections_.find(handle);
     if (connection == nullptr || !connection->is(State::Idle)) continue;
     if (now - connection->idle.became_idle_at_ms < lifetime_ms) break;
@@ -353,8 +351,8 @@
   connection.receiver = &receiver_;
   connection.handle = handle;
   connection.descriptor = std::move(descriptor);
-  connection.eviction_entry = connection.eviction_node.insert(connection.eviction_node.end(), handle);
   connection.endpoint = {endpoint.server.id, endpoint.name, endpoint.address, endpoint.server.started_at};
+  free_.track(connection);
   connection.opened_at_ms = now_ms();
   connection.socket = loop::make_bufferevent(base_, fd);
   loop::set_nodelay(fd);
@@ -446,8 +444,7 @@
     return fail(connection, AttemptResult::ConnectFailed, CloseReason::NotInService);
   }
   if (connection.attempt != 0) return write_request(connection);
-  remove_from_free(connection);
-  remove_from_eviction(connection);
+  free_.remove(connection);
   return_to_pool(connection);
 }
 
@@ -522,8 +519,9 @@
                                        {"answers", connection.requests_served},
                                        {"ms", now_ms() - connection.opened_at_ms}});
   timers_.cancel(connection.timer);
-  remove_from_free(connection);
-  remove_from_eviction(connection);
+  free_.remove(connection);
+  // No state is kept for removed endpoints.
+  if (!endpoints_.contains(connection.endpoint.id)) free_.forget(connection.endpoint.id);
   connections_.remove(connection.handle);
 }
 
@@ -531,7 +529,7 @@
 
 void ConnectionPool::return_to_pool(UpstreamConnection& connection) {
   const ServerId endpoint = connection.endpoint.id;
-  add_to_free(connection);
+  free_.add(connection);
   const double now = now_ms();
   connection.become_idle(now);
   const double lifetime_ms = idle_lifetimes_.max_keep_ms(now, endpoint);
@@ -542,7 +540,7 @@
   // Other routers may need the connection slot at the endpoint, and this router has another idle connection.
   const double used_ms = now - connection.assigned_at_ms;
   const double surplus_until_ms = std::max(now, idle.reusable_at_ms) + used_ms;
-  if (is_scarce(endpoint) && free_by_endpoint_[endpoint].size() > 1 && surplus_until_ms < idle.close_at_ms) {
+  if (is_scarce(endpoint) && free_.of(endpoint).size() > 1 && surplus_until_ms < idle.close_at_ms) {
     idle.close_reason = CloseReason::Surplus;
     idle.close_at_ms = surplus_until_ms;
   }
@@ -559,52 +557,28 @@
   });
 }
 
-bool ConnectionPool::evict_oldest_free(CloseReason reason) {
-  if (eviction_list_.empty()) return false;
-  close(*connections_.find(eviction_list_.front()), reason);
-  return true;
-}
-
-void ConnectionPool::add_to_free(UpstreamConnection& connection) {
-  free_by_endpoint_[connection.endpoint.id].push_back(connection.handle);
-  eviction_list_.splice(eviction_list_.end(), connection.eviction_node);
-}
-
 // A connection whose request was cancelled within its reuse delay takes its place among the idle ones again.
-void ConnectionPool::add_to_free_again(UpstreamConnection& connection) {
+void ConnectionPool::return_unused(UpstreamConnection& connection) {
+  if (const std::optional<CloseReason> reason = reason_not_to_pool(connection))
+    return close(connection, *reason);
   connection.reuse_cancelled();
-  add_to_free(connection);
-  std::vector<Handle>& free_handles = free_by_endpoint_[connection.endpoint.id];
-  const auto place = std::find_if(free_handles.begin(), free_handles.end(), [&](Handle handle) {
-    const UpstreamConnection* const other = connections_.find(handle);
-    return other != nullptr && other->idle.became_idle_at_ms > connection.idle.became_idle_at_ms;
-  });
-  if (place != free_handles.end()) std::rotate(place, free_handles.end() - 1, free_handles.end());
+  free_.add_by_idle_time(connection);
   start_idle_timeout(connection);
 }
 
-void ConnectionPool::remove_from_free(const UpstreamConnection& connection) {
-  const ServerId endpoint = connection.endpoint.id;
-  const auto found = free_by_endpoint_.find(endpoint);
-  if (found == free_by_endpoint_.end()) return;
-  std::erase(found->second, connection.handle);
-  // No state is kept for removed endpoints.
-  if (found->second.empty() && endpoints_.count(endpoint) == 0) free_by_endpoint_.erase(found);
-}
-
-void ConnectionPool::remove_from_eviction(UpstreamConnection& connection) {
-  std::list<Handle>& node = connection.eviction_node;
-  if (node.empty()) node.splice(node.begin(), eviction_list_, connection.eviction_entry);
+bool ConnectionPool::evict_oldest_free(CloseReason reason) {
+  UpstreamConnection* const oldest = free_.oldest();
+  if (oldest == nullptr) return false;
+  close(*oldest, reason);
+  return true;
 }
 
 void ConnectionPool::close_free(ServerId endpoint, CloseReason reason) {
-  const auto found = free_by_endpoint_.find(endpoint);
-  if (found == free_by_endpoint_.end()) return;
-  const std::vector<Handle> handles = found->second;
+  const std::vector<Handle> handles = free_.of(endpoint);
   for (const Handle handle : handles) {
     if (UpstreamConnection* const connection = connections_.find(handle)) close(*connection, reason);
   }
-  free_by_endpoint_.erase(endpoint);
+  free_.forget(endpoint);
 }
 
 } // namespace fernward::upstream
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <functional>
-#include <list>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -19,6 +18,7 @@
 #include "proxy/upstream_connections.h"
 #include "upstream/close_reason.h"
 #include "upstream/connection_pool_options.h"
+#include "upstream/free_connections.h"
 #include "upstream/request_writer.h"
 #include "upstream/response_receiver.h"
 #include "upstream/upstream_connection.h"
@@ -54,7 +54,7 @@
   bool evict_oldest_free(CloseReason reason);
 
   std::size_t connection_count() const { return connections_.size(); }
-  std::size_t pooled_endpoints() const { return free_by_endpoint_.size(); }
+  std::size_t pooled_endpoints() const { return free_.endpoint_count(); }
   std::uint64_t opened_count() const { return opened_count_; }
   std::uint64_t resets_after_idle() const { return resets_after_idle_; } // on reused connections
   const idle_connections::IdleLifetimeEstimator& idle_lifetimes() const { return idle_lifetimes_; }
@@ -101,13 +101,10 @@
   descriptors::DescriptorBudget::Lease reserve_descriptor();
   int open_socket();
 
-  // The free list and the eviction list.
+  // Free connections.
   void return_to_pool(UpstreamConnection& connection);
+  void return_unused(UpstreamConnection& connection);
   void start_idle_timeout(UpstreamConnection& connection);
-  void add_to_free(UpstreamConnection& connection);
-  void add_to_free_again(UpstreamConnection& connection);
-  void remove_from_free(const UpstreamConnection& connection);
-  void remove_from_eviction(UpstreamConnection& connection);
   void record_idle_use(const UpstreamConnection& connection, bool reset);
 
   void close(UpstreamConnection& connection, CloseReason reason);
@@ -122,8 +119,7 @@
   EvictClientConnection evict_client_connection_;
   std::map<fernward::ServerId, endpoints::Endpoint> endpoints_;
   loop::SlotMap<UpstreamConnection> connections_;
-  std::map<fernward::ServerId, std::vector<loop::Handle>> free_by_endpoint_; // by endpoint, newest last
-  std::list<loop::Handle> eviction_list_; // all free connections, oldest first
+  FreeConnections free_;
   std::unordered_map<loop::Handle, loop::Handle> connection_by_attempt_;
   idle_connections::IdleLifetimeEstimator idle_lifetimes_;
   std::uint64_t opened_count_ = 0;
--- a/src/upstream/upstream_connection.h
+++ b/src/upstream/upstream_connection.h
@@ -116,8 +116,8 @@
   ResponseReceiver* receiver = nullptr;
   loop::Handle handle = 0;
   descriptors::DescriptorBudget::Lease descriptor;
-  std::list<loop::Handle> eviction_node; // holds the eviction list entry while not free
-  std::list<loop::Handle>::iterator eviction_entry;
+  std::list<loop::Handle> age_node; // holds the entry of FreeConnections while not free
+  std::list<loop::Handle>::iterator age_entry;
   EndpointIdentity endpoint;
   loop::BuffereventPtr socket;
   http::Parser parser;
