Origin connections have no reuse delay after a value whose duplicate is recognized by its body

Cause: the origin has few connections, and each was unused for 25 ms after every response.

Change: after a read's value of up to 16 KiB the origin's connection can be used at once. A response with the same body, within the delay and the 0.15 s that a router may be held up, is its duplicate: the attempt fails as one that may have run, and the connection is closed (code=repeated-answer). Responses to writes, rejections, errors and long values keep the delay. Equal values of two keys look the same; after an equal response the delay applies at that server for a minute (idle_connections/duplicate_recognition.h).

Cost: up to 16 KiB of memory for each origin connection; a request that meets a duplicate at the origin fails.

--- a/src/idle_connections/reuse_delay.h
+++ b/src/idle_connections/reuse_delay.h
@@ -2,7 +2,8 @@
 //
 // A server may send its last response a second time, some milliseconds late. A request that is written before
 // the duplicate arrives would be given the wrong response, as HTTP/1.1 responses name no request. Therefore a
-// connection is not reused for a short time after a response, the reuse delay.
+// connection is not reused for a short time after a response, the reuse delay. Where a duplicate of the response
+// can be recognized by its body, the connection has no delay.
 #pragma once
 
 namespace fernward::idle_connections {
--- a/src/upstream/close_reason.cpp
+++ b/src/upstream/close_reason.cpp
@@ -20,6 +20,7 @@
     case CloseReason::CancelledBeforeResponse: return "given-up";
     case CloseReason::LongRemainder: return "long-remains";
     case CloseReason::TrailingBytes: return "bytes-behind";
+    case CloseReason::DuplicateResponse: return "repeated-answer";
     case CloseReason::EarlyResponse: return "early-answer";
     case CloseReason::PeerClosed: return "peer-closed";
     case CloseReason::PeerRequestedClose: return "peer-said-close";
--- a/src/upstream/close_reason.h
+++ b/src/upstream/close_reason.h
@@ -26,6 +26,7 @@
   // After a response, or while idle.
   LongRemainder,        // an unneeded response with too many bytes left to discard
   TrailingBytes,        // the endpoint sent more bytes than the response
+  DuplicateResponse,    // the previous response a second time, in place of the expected one
   EarlyResponse,        // a response before the request was sent completely
   PeerClosed,           // by the endpoint, while idle
   PeerRequestedClose,   // requested by the endpoint in its response
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -21,6 +21,9 @@
 namespace {
 
 constexpr int kSocketRetries = 2; // each after another connection was closed
+constexpr std::size_t kMaxComparableBytes =
+    16 * 1024;                          // of a response that is kept to recognize its duplicate
+constexpr double kMaxLoopDelayMs = 150; // between the arrival of bytes and their processing
 
 } // namespace
 
@@ -77,6 +80,7 @@
     endpoints_.erase(found);
     close_free(id, CloseReason::NotInService);
     idle_lifetimes_.forget(id);
+    duplicate_recognition_.forget(id);
     return;
   }
   const endpoints::Endpoint previous = std::exchange(found->second, *endpoint);
@@ -475,6 +479,12 @@
 }
 
 void ConnectionPool::response_complete(UpstreamConnection& connection, std::optional<CloseReason> reason) {
+  // The request was written, so it may have run.
+  if (is_duplicate_response(connection)) {
+    duplicate_recognition_.on_equal_responses(now_ms(), connection.endpoint.id);
+    return fail(connection, AttemptResult::Error, CloseReason::DuplicateResponse);
+  }
+  std::string body = comparable_body(connection);
   const http::Message head = connection.parser.take_message();
   if (!reason && !head.keep_alive) reason = CloseReason::PeerRequestedClose;
   if (!reason && connection.request_unsent()) reason = CloseReason::EarlyResponse;
@@ -489,10 +499,31 @@
   if (!reason) reason = reason_not_to_pool(connection);
   if (reason) return close(connection, *reason);
   receiver_.set_direct_read(connection, false);
-  connection.idle.reusable_at_ms = now_ms() + options_.reuse_delay_ms;
+  connection.idle.reusable_at_ms = now_ms() + (body.empty() ? options_.reuse_delay_ms : 0);
+  connection.last_body = std::move(body);
   return_to_pool(connection);
 }
 
+// The body of a response whose duplicate can be told from the next response; else empty. Only used where
+// connections are scarce, as a request whose response is a duplicate fails: values differ by their key, unlike
+// the responses to writes, rejections and errors.
+std::string ConnectionPool::comparable_body(const UpstreamConnection& connection) const {
+  if (!connection.is(State::Buffering) || connection.request->is_write) return {};
+  const ServerId endpoint = connection.endpoint.id;
+  if (!in_service(endpoint) || !is_scarce(endpoint)) return {};
+  if (!duplicate_recognition_.is_allowed(now_ms(), endpoint)) return {};
+  const loop::Buffer& body = connection.response.buffered.buffer;
+  return body.size() <= kMaxComparableBytes ? body.text() : std::string();
+}
+
+bool ConnectionPool::is_duplicate_response(const UpstreamConnection& connection) const {
+  const std::string& last_body = connection.last_body;
+  if (last_body.empty() || !connection.is(State::Buffering)) return false;
+  if (now_ms() > connection.idle.became_idle_at_ms + options_.reuse_delay_ms + kMaxLoopDelayMs) return false;
+  const loop::Buffer& body = connection.response.buffered.buffer;
+  return body.size() == last_body.size() && body.text() == last_body;
+}
+
 // The process that responded may have been removed from the endpoint list, or be listed at another address.
 std::optional<CloseReason> ConnectionPool::reason_not_to_pool(const UpstreamConnection& connection) const {
   const EndpointIdentity& identity = connection.endpoint;
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -11,6 +11,7 @@
 #include "descriptors/descriptor_budget.h"
 #include "endpoints/endpoint_table.h"
 #include "figures/router_stats.h"
+#include "idle_connections/duplicate_recognition.h"
 #include "idle_connections/idle_lifetime_estimator.h"
 #include "loop/slot_map.h"
 #include "loop/timer_queue.h"
@@ -91,6 +92,8 @@
   bool in_service(fernward::ServerId endpoint) const;
   bool is_scarce(fernward::ServerId endpoint) const;
   bool matches_endpoint_address(const UpstreamConnection& connection) const;
+  std::string comparable_body(const UpstreamConnection& connection) const;
+  bool is_duplicate_response(const UpstreamConnection& connection) const;
   std::optional<CloseReason> reason_not_to_pool(const UpstreamConnection& connection) const;
 
   // Opening.
@@ -122,6 +125,7 @@
   FreeConnections free_;
   std::unordered_map<loop::Handle, loop::Handle> connection_by_attempt_;
   idle_connections::IdleLifetimeEstimator idle_lifetimes_;
+  idle_connections::DuplicateRecognition duplicate_recognition_;
   std::uint64_t opened_count_ = 0;
   std::uint64_t resets_after_idle_ = 0;
   loop::IoBuffer io_buffer_;
--- a/src/upstream/connection_pool_options.h
+++ b/src/upstream/connection_pool_options.h
@@ -18,7 +18,7 @@
   std::int64_t scarce_kind = -1;
   // A server may send its last response a second time, some milliseconds late. Until this time after a
   // response, no request is written to its connection, so that the duplicate cannot be read as the response
-  // to it.
+  // to it. At endpoints of `scarce_kind`, a duplicate of a short value is recognized by its body instead.
   double reuse_delay_ms = 25;
   std::vector<std::string> load_report_fields; // fields of the load report, in the order of the settings
   body_buffers::ResponseBufferingLimits response_limits;
--- a/src/upstream/upstream_connection.h
+++ b/src/upstream/upstream_connection.h
@@ -126,6 +126,7 @@
   UploadProgress upload;
   IdleUse idle;
   DownloadProgress response;
+  std::string last_body;  // of the last response, if its duplicate can be recognized by it; else empty
   double deadline_ms = 0; // of the attempt
   double opened_at_ms = 0;
   double connect_ms = 0; // how long it took to establish
--- a/tests/idle_connections/reuse_delay_test.cpp
+++ b/tests/idle_connections/reuse_delay_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include "idle_connections/duplicate_recognition.h"
+
 using namespace fernward::idle_connections;
 
 TEST_CASE("an attempt waits for the reuse delay only where another connection is not available sooner") {
@@ -20,3 +22,16 @@
     CHECK(should_await_reuse(tested.state) == tested.waits);
   }
 }
+
+TEST_CASE("bodies are compared again a minute after two equal responses, at each server by itself") {
+  DuplicateRecognition recognition;
+  CHECK(recognition.is_allowed(1000, 1));
+  recognition.on_equal_responses(1000, 1);
+  CHECK_FALSE(recognition.is_allowed(1000, 1));
+  CHECK_FALSE(recognition.is_allowed(60999, 1));
+  CHECK(recognition.is_allowed(61000, 1));
+  CHECK(recognition.is_allowed(1000, 2));
+  recognition.on_equal_responses(70000, 1);
+  recognition.forget(1);
+  CHECK(recognition.is_allowed(70000, 1));
+}
--- a/tests/upstream/pool_fixture.h
+++ b/tests/upstream/pool_fixture.h
@@ -62,8 +62,9 @@
   }
 
   // Starts an attempt of a new request with this id.
-  loop::Handle start(const std::string& id) {
+  loop::Handle start(const std::string& id, bool is_write = false) {
     proxy::ClientRequest request;
+    request.is_write = is_write;
     request.path = "/k/" + id;
     request.id = id;
     request.timeout_ms = 100000;
