--- a/src/upstream/free_connections.cpp
+++ b/src/upstream/free_connections.cpp
@@ -38,9 +38,9 @@
 }
 
 const std::vector<Handle>& FreeConnections::of(fernward::ServerId endpoint) const {
-  static const std::vector<Handle> kNone;
+  static const std::vector<Handle> none;
   const auto found = by_endpoint_.find(endpoint);
-  return found == by_endpoint_.end() ? kNone : found->second;
+  return found == by_endpoint_.end() ? none : found->second;
 }
 
 UpstreamConnection* FreeConnections::oldest() {
