After a quick response of the origin, the reuse delay of the value before it still applies

Where the next response comes sooner than the duplicate of the value before, a third request could be written and be given that duplicate.

Change: if a response completes within the delay of the one before it, its connection is reused when that delay is over. Cost: a wait only after a response of the origin that took less than the delay.

The comment on GracefulShutdown is wrapped again.

--- a/src/router/graceful_shutdown.h
+++ b/src/router/graceful_shutdown.h
@@ -11,10 +11,9 @@
 //   Stopped    the event loop is stopped: at `end`, or once the last connection is closed
 //
 // Requests without a response kFailBeforeEndMs before `end` fail with 502, so that their clients are
-// notified; requests that become complete during the shutdown are opened with the remaining time. If a new
-// process replaces this one, Accepting, Serving and Draining do not apply: each connection
-// is passed to the new process when it becomes idle, and this process stops once the last one has been
-// passed.
+// notified; requests that become complete during the shutdown get the remaining time. If a new process
+// replaces this one, Accepting, Serving and Draining do not apply: each connection is passed to the new
+// process when it becomes idle, and this process stops once the last one has been passed.
 #pragma once
 
 #include <event2/event.h>
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -499,7 +499,11 @@
   if (!reason) reason = reason_not_to_pool(connection);
   if (reason) return close(connection, *reason);
   receiver_.set_direct_read(connection, false);
-  connection.idle.reusable_at_ms = now_ms() + (body.empty() ? options_.reuse_delay_ms : 0);
+  // A duplicate of the response before may follow too, and would not be recognized any more.
+  const double earlier_delay_until_ms = connection.idle.became_idle_at_ms + options_.reuse_delay_ms;
+  const double delay_until_ms = now_ms() + (body.empty() ? options_.reuse_delay_ms : 0);
+  connection.idle.reusable_at_ms =
+      connection.last_body.empty() ? delay_until_ms : std::max(delay_until_ms, earlier_delay_until_ms);
   connection.last_body = std::move(body);
   return_to_pool(connection);
 }
--- a/tests/upstream/duplicate_responses_test.cpp
+++ b/tests/upstream/duplicate_responses_test.cpp
@@ -105,7 +105,7 @@
 }
 
 TEST_CASE("a different value is the response to the next request at a server with scarce connections") {
-  PoolFixture fixture(options_with(kNeverOverMs, true));
+  PoolFixture fixture(options_with(kShortDelayMs, true));
   serve_first_request(fixture, ok_response("v of r1"));
   for (const char* const body : {"v of r2", "v of r3"}) {
     const loop::Handle next = fixture.start("next");
@@ -118,6 +118,24 @@
   CHECK(fixture.server.accepted_connections == 1);
 }
 
+// Guards against a duplicate that is later than a quick response to the request after it.
+TEST_CASE(
+    "after a quick response the delay of the value before it applies at a server with scarce connections") {
+  PoolFixture fixture(options_with(kNeverOverMs, true));
+  serve_first_request(fixture, ok_response("v of r1"));
+  const loop::Handle second = fixture.start("r2");
+  REQUIRE(fixture.wait_until_received(2));
+  fixture.server.write_to(0, ok_response("v of r2"));
+  REQUIRE(fixture.wait_until_ended(second));
+  const loop::Handle third = fixture.start("r3");
+  fixture.server.write_to(0, ok_response("v of r1"));
+  REQUIRE(fixture.wait_until_received(3));
+  CHECK(fixture.server.accepted_connections == 2);
+  fixture.server.write_to(1, ok_response("v of r3"));
+  REQUIRE(fixture.wait_until_ended(third));
+  CHECK(fixture.attempts.ended[third].body == "v of r3");
+}
+
 // Guards against connections that the origin has to refuse, and against a request that waits for longer.
 TEST_CASE("a server with scarce connections gets the next request when the reuse delay is over") {
   PoolFixture fixture(options_with(kShortDelayMs, true));
