Tests of the reuse delay do not depend on how busy the machine is

With a delay of 5 ms a test process held up for longer between a response and the next attempt would have found the delay over and failed. It is 200 ms now; no assertion changes.

--- a/tests/upstream/duplicate_responses_test.cpp
+++ b/tests/upstream/duplicate_responses_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr ServerId kServer = PoolFixture::kServer;
 constexpr double kNeverOverMs = 60000; // a reuse delay that outlasts every test
-constexpr double kShortDelayMs = 5;
+constexpr double kShortDelayMs = 200;  // longer than a busy machine holds the test up
 
 upstream::ConnectionPoolOptions options_with(double reuse_delay_ms, bool scarce = false) {
   upstream::ConnectionPoolOptions options;
