--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -633,7 +633,7 @@
     pid_ = fork();
     if (pid_ < 0) cannot_run("fork");
     if (pid_ == 0) {
-      if (std::getenv("NOPD") == nullptr) prctl(PR_SET_PDEATHSIG, SIGKILL);
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (getppid() != parent) std::_Exit(127);
       for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGPIPE}) signal(number, SIG_DFL);
       const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/review/kit-2/run.sh
+++ b/review/kit-2/run.sh
@@ -4,7 +4,7 @@
 case_folder=$(cd "$1" && pwd)
 ROOT=$(cd "$(dirname "$0")/../.." && pwd)
 RUN=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$ROOT/deploy/balancer.toml")
-RECORD="$case_folder/record.txt"
+RECORD=${RECORD:-$case_folder/record.txt}
 WORK=$(mktemp -d) || exit 2
 export ROOT RUN RECORD WORK
 program="$ROOT/build-review-2/case-$(basename "$case_folder")"
