Final responses to long bodies are in time where the router delays reading

Cause: the time of a request with a long body counted from when the body may arrive at the latest (2.6 s and more after its head) until its last byte was read. While no server accepts the body, the router itself stops reading, so the last byte stays in the sockets. A pipelined request got its whole timeout again when it was read.

Change: body_buffers::ReceiveClock holds since when bytes of a client are unread; timeouts count from then. The dispatcher passes changed deadlines on to the Balancer (DeadlineChanged), whose give-up timer follows.

--- a/include/fernward/balancer.h
+++ b/include/fernward/balancer.h
@@ -181,6 +181,15 @@
   double body_complete_at = 0;
 };
 
+/// The body of a request that is still arriving is complete, or is expected to be at another time than before.
+struct DeadlineChanged {
+  RequestId id = 0;
+  /// As Request::deadline.
+  double deadline = 0;
+  /// As Request::body_complete_at.
+  double body_complete_at = 0;
+};
+
 enum class AttemptResult {
   Ok,
   Error,         // the server responded with an error
@@ -263,8 +272,8 @@
   double observed_at = 0;
 };
 
-using Event = std::variant<EndpointList, Request, AttemptOutcome, ResponseStarted, ClientDisconnected,
-                           TimerFired, HealthCheckResult, FleetState, OutlierReport>;
+using Event = std::variant<EndpointList, Request, DeadlineChanged, AttemptOutcome, ResponseStarted,
+                           ClientDisconnected, TimerFired, HealthCheckResult, FleetState, OutlierReport>;
 
 // ---- actions ----
 
--- a/src/concurrency/origin_request_queue.cpp
+++ b/src/concurrency/origin_request_queue.cpp
@@ -56,6 +56,11 @@
   return std::nullopt;
 }
 
+void OriginRequestQueue::set_deadline(Id id, double deadline) {
+  const auto it = positions_.find(id);
+  if (it != positions_.end()) requests_.at(it->second).deadline = deadline;
+}
+
 bool OriginRequestQueue::remove(Id id) {
   const auto it = positions_.find(id);
   if (it == positions_.end()) return false;
--- a/src/concurrency/origin_request_queue.h
+++ b/src/concurrency/origin_request_queue.h
@@ -35,6 +35,8 @@
   bool add(double now, Id id, double priority_weight, double deadline, bool write);
   // Removes and returns the next request of the kinds that may be sent.
   std::optional<Id> take(double now, bool may_read, bool may_write);
+  // Replaces the deadline of a queued request; others are ignored.
+  void set_deadline(Id id, double deadline);
   // The request has ended. False: not queued.
   bool remove(Id id);
   // Removes the requests that will certainly be late, and appends them and the evicted ones to `ids`.
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -9,6 +9,7 @@
 #include <optional>
 
 #include "body_buffers/buffer_budget.h"
+#include "body_buffers/receive_clock.h"
 #include "config/config.h"
 #include "descriptors/client_admission.h"
 #include "descriptors/descriptor_budget.h"
@@ -50,8 +51,9 @@
   std::function<loop::Handle(loop::Handle client, proxy::ClientRequest)> open_request;
   // Whether a client waits for a response to a request with this id.
   std::function<bool(const std::string& id)> is_waiting_for;
-  // The last byte of the body arrived after open_request().
-  std::function<void(loop::Handle active_request)> body_complete;
+  // After open_request(): ClientRequest::received_at_ms has changed, because the body is complete or because
+  // reading it was delayed or resumed.
+  std::function<void(loop::Handle active_request, double received_at_ms)> received_at_changed;
   std::function<void(loop::Handle active_request)> client_disconnected;
   std::function<bool()> is_ready;
   // The last connection was closed after the listener had stopped.
@@ -142,7 +144,11 @@
     std::shared_ptr<proxy::RequestBody> streamed_body;       // a long body that is arriving; else null
     std::optional<proxy::ClientRequest> pending_request;     // its request, until it is forwarded
     figures::RouterStats::RequestTracker request_statistics; // until the final response
-    double body_started_at_ms = 0;                           // when streamed_body started to arrive
+    body_buffers::ReceiveClock receive_clock;
+    // When streamed_body started to arrive; later by the time for which the router has delayed reading it.
+    double body_started_at_ms = 0;
+    // When streamed_body is expected to be complete at the latest, as long as reading is not delayed.
+    double body_expected_at_ms = 0;
     enum class State { Reading, Waiting, Streaming, Closing, Lingering } state = State::Reading;
     loop::Handle active_request = 0;               // in Waiting and Streaming; else 0
     http::Framing framing = http::Framing::Length; // of a streamed response
@@ -186,8 +192,9 @@
   void pause_reading(Connection& connection);
   void resume_reading(Connection& connection);
   void schedule_end_check(Connection& connection);
-  void send_continue(Connection& connection);                         // answers Expect: 100-continue
-  void handle_request(Connection& connection, http::Message request); // a complete request
+  void send_continue(Connection& connection); // answers Expect: 100-continue
+  // A complete request.
+  void handle_request(Connection& connection, http::Message request, double received_at_ms);
   DecodedRequest decode(http::Message request);
   bool admit(Connection& connection, DecodedRequest& decoded, bool complete); // false: it has been rejected
   // Forwards the request to the router.
@@ -196,6 +203,12 @@
   void start_streamed_body(Connection& connection);
   void read_streamed_body(Connection& connection);
   void forward_request(Connection& connection); // once the body is complete or may be streamed
+  std::string_view read_body_directly(Connection& connection, std::size_t max_bytes, bool& all_read);
+  static bool has_unread_bytes(const Connection& connection);
+  // Notes since when bytes of the client are unread, or that all are read.
+  void update_receive_clock(Connection& connection);
+  void update_receive_clock(Connection& connection, bool unread);
+  double body_due_at_ms(const Connection& connection) const;
   void start_body_timeout(Connection& connection);
 
   // ---- responses.cpp: writing responses ----
--- a/src/downstream/requests.cpp
+++ b/src/downstream/requests.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024; // read from a client whose request was rejected
+constexpr std::size_t kMinDirectReadBytes = 4096;      // libevent reads no more at a time
+constexpr int kMaxDirectReadsPerEvent = 8;             // before other connections are served
 constexpr unsigned kMaxPipelinedRequests = 2; // consecutive requests received before the previous response
 // An attempt that starts 0.1 s or more after its client disconnected counts as a fault.
 constexpr double kClientEndCheckIntervalMs = 50;
@@ -48,6 +50,7 @@
   // in the output buffer.
   if (connection.state != Connection::State::Reading || input.empty() ||
       loop::pending_output(connection.socket.get()) > 0) {
+    update_receive_clock(connection);
     // With a full input buffer libevent would call again and again, and use a whole core for each such
     // client.
     if (input.size() >= kMaxReadAheadBytes) pause_reading(connection);
@@ -68,8 +71,11 @@
     admission_.on_request_active(now_ms(), connection.handle);
     connection.head_received_at_ms = 0;
     connection.request_buffer.set(0);
-    return handle_request(connection, connection.parser.take_message());
+    const double received_at_ms = connection.receive_clock.sent_at_ms(now_ms());
+    update_receive_clock(connection);
+    return handle_request(connection, connection.parser.take_message(), received_at_ms);
   }
+  update_receive_clock(connection);
   if (connection.parser.expects_body() &&
       std::max<std::uint64_t>(connection.parser.body().length().value_or(0),
                               connection.parser.body().received_bytes()) > options_.max_short_body_bytes) {
@@ -122,7 +128,7 @@
   loop::write_or_enqueue(connection.socket.get(), "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void Listener::handle_request(Connection& connection, http::Message request) {
+void Listener::handle_request(Connection& connection, http::Message request, double received_at_ms) {
   connection.continue_sent = false;
   connection.keep_alive = request.keep_alive && !draining_;
   connection.is_http_1_0 = request.is_http_1_0;
@@ -136,6 +142,7 @@
   DecodedRequest decoded = decode(std::move(request));
   if (!admit(connection, decoded, true)) return;
   timers_.cancel(connection.timer);
+  decoded.request.received_at_ms = received_at_ms;
   open_request(connection, std::move(decoded.request));
 }
 
@@ -167,7 +174,7 @@
 void Listener::open_request(Connection& connection, proxy::ClientRequest request) {
   admission_.on_request_complete(now_ms(), connection.handle);
   connection.state = Connection::State::Waiting;
-  const bool complete = request.body_timeout_ms == 0;
+  const bool complete = !request.body_arriving;
   connection.active_request = callbacks_.open_request(connection.handle, std::move(request));
   if (connection.active_request != 0) return;
   if (!complete) return reject(connection, 503, "", "shed");
@@ -234,29 +241,85 @@
 
 void Listener::read_streamed_body(Connection& connection) {
   http::BodyParser& body = connection.parser.body();
-  while (!body.done()) {
-    const std::string_view input = loop::pending_input(connection.socket.get());
-    if (input.empty()) break;
-    const std::size_t available_bytes = connection.streamed_body->writable_bytes();
-    if (available_bytes == 0) { // the body's buffer is full: the server reads slowly
+  bool all_read = false;
+  for (int direct_reads = 0; !body.done();) {
+    const std::size_t writable_bytes = connection.streamed_body->writable_bytes();
+    if (writable_bytes == 0) { // the body's buffer is full: the server reads slowly
       pause_reading(connection);
       break;
     }
-    const http::BodyParser::Piece piece = body.next(input.substr(0, available_bytes));
+    std::string_view input = loop::pending_input(connection.socket.get());
+    const bool direct = input.empty();
+    if (direct && direct_reads++ == kMaxDirectReadsPerEvent) break;
+    if (direct) input = read_body_directly(connection, writable_bytes, all_read);
+    if (input.empty()) break;
+    const http::BodyParser::Piece piece = body.next(input.substr(0, writable_bytes));
     const bool fits = connection.streamed_body->append(piece.body, io_buffer_);
-    loop::consume_input(connection.socket.get(), piece.consumed_bytes);
+    if (!direct) loop::consume_input(connection.socket.get(), piece.consumed_bytes);
     if (body.error() == http::ParseError::Malformed) return reject(connection, 400, "malformed", "malformed");
     if (body.error() == http::ParseError::HeaderTooLarge)
       return reject(connection, 431, "header", "header-too-large");
     if (!fits || body.error() != http::ParseError::None)
       return reject(connection, 413, "body", "body-too-large");
   }
+  if (!body.done()) update_receive_clock(connection, !all_read && has_unread_bytes(connection));
   forward_request(connection);
 }
 
+// Reads a long stretch of the body from the socket, as libevent reads 4 KB at a time. Empty: there is no such
+// stretch or nothing to read; `all_read` is true if nothing was there. An end of the connection is left to libevent.
+std::string_view Listener::read_body_directly(Connection& connection, std::size_t max_bytes, bool& all_read) {
+  max_bytes = std::min({max_bytes, loop::IoBuffer::size(),
+                        static_cast<std::size_t>(connection.parser.body().contiguous_body_bytes())});
+  if (max_bytes < kMinDirectReadBytes) return {};
+  char* const destination = io_buffer_.data();
+  std::size_t bytes = 0;
+  const int socket = bufferevent_getfd(connection.socket.get());
+  all_read = loop::receive(socket, destination, max_bytes, bytes) == loop::ReceiveResult::WouldBlock;
+  return {destination, bytes};
+}
+
+bool Listener::has_unread_bytes(const Connection& connection) {
+  return !loop::pending_input(connection.socket.get()).empty() ||
+         loop::peek(bufferevent_getfd(connection.socket.get())) == loop::Peek::Data;
+}
+
+// Between bodies the socket is asked only to end a delay.
+void Listener::update_receive_clock(Connection& connection) {
+  const bool ask_socket = connection.receive_clock.is_delayed();
+  const bool has_input = !loop::pending_input(connection.socket.get()).empty();
+  update_receive_clock(connection, has_input || (ask_socket && has_unread_bytes(connection)));
+}
+
+void Listener::update_receive_clock(Connection& connection, bool unread) {
+  body_buffers::ReceiveClock& clock = connection.receive_clock;
+  if (connection.streamed_body == nullptr) {
+    unread ? clock.on_unread_bytes(now_ms()) : void(clock.on_caught_up(now_ms()));
+    return;
+  }
+  const bool was_delayed = clock.is_delayed();
+  if (unread) {
+    clock.on_unread_bytes(now_ms(), connection.parser.body().missing_bytes());
+  } else {
+    const double delay_ms = clock.on_caught_up(now_ms());
+    connection.body_started_at_ms += delay_ms;
+    connection.body_expected_at_ms += delay_ms;
+  }
+  if (clock.is_delayed() == was_delayed) return;
+  if (was_delayed) start_body_timeout(connection);
+  if (connection.active_request == 0) return;
+  callbacks_.received_at_changed(connection.active_request, clock.is_delayed()
+                                                                ? clock.sent_at_ms(now_ms())
+                                                                : connection.body_expected_at_ms);
+}
+
 // Forwards the request when its body is complete or may be streamed.
 void Listener::forward_request(Connection& connection) {
   const bool complete = connection.parser.body().done();
+  if (connection.pending_request) connection.body_expected_at_ms = body_due_at_ms(connection);
+  const double received_at_ms = complete || connection.receive_clock.is_delayed()
+                                    ? connection.receive_clock.sent_at_ms(now_ms())
+                                    : connection.body_expected_at_ms;
   if (complete) {
     connection.request_statistics.set_complete();
     connection.streamed_body->complete();
@@ -265,36 +328,39 @@
     timers_.cancel(connection.timer);
   }
   const auto streamed_body = connection.streamed_body;
-  if (complete) connection.streamed_body.reset();
+  if (complete) {
+    connection.streamed_body.reset();
+    update_receive_clock(connection);
+  }
   if (connection.pending_request && streamed_body->may_stream()) {
     proxy::ClientRequest request = std::move(*connection.pending_request);
     connection.pending_request.reset();
     connection.request_buffer.set(0);
-    if (!complete) {
-      request.body_timeout_ms =
-          std::max(1.0, connection.body_started_at_ms +
-                            streamed_body->receive_timeout_ms(options_.request_timeout_ms) - now_ms());
-    }
+    request.body_arriving = !complete;
+    request.received_at_ms = received_at_ms;
     return open_request(connection, std::move(request));
   }
-  if (complete && connection.active_request != 0) callbacks_.body_complete(connection.active_request);
+  if (complete && connection.active_request != 0)
+    callbacks_.received_at_changed(connection.active_request, received_at_ms);
+}
+
+// The time limit for a body to arrive, which grows with the bytes received and does not include delays.
+double Listener::body_due_at_ms(const Connection& connection) const {
+  return connection.body_started_at_ms +
+         connection.streamed_body->receive_timeout_ms(options_.request_timeout_ms);
 }
 
-// Limits the time for a body to arrive. The limit grows with the bytes received.
+// Limits the time for a body to arrive. While reading is delayed, the request's own deadline applies instead.
 void Listener::start_body_timeout(Connection& connection) {
   timers_.cancel(connection.timer);
-  connection.timer = timers_.run_at(
-      connection.body_started_at_ms +
-          connection.streamed_body->receive_timeout_ms(options_.request_timeout_ms),
-      [this, handle = connection.handle] {
-        Connection* timed_out = connections_.find(handle);
-        if (timed_out == nullptr || timed_out->streamed_body == nullptr) return;
-        timed_out->timer = 0;
-        if (now_ms() < timed_out->body_started_at_ms +
-                           timed_out->streamed_body->receive_timeout_ms(options_.request_timeout_ms))
-          return start_body_timeout(*timed_out);
-        reject(*timed_out, 408, "too slow", "request-timeout");
-      });
+  connection.timer = timers_.run_at(body_due_at_ms(connection), [this, handle = connection.handle] {
+    Connection* timed_out = connections_.find(handle);
+    if (timed_out == nullptr || timed_out->streamed_body == nullptr) return;
+    timed_out->timer = 0;
+    if (timed_out->receive_clock.is_delayed()) return; // started again when the delay ends
+    if (now_ms() < body_due_at_ms(*timed_out)) return start_body_timeout(*timed_out);
+    reject(*timed_out, 408, "too slow", "request-timeout");
+  });
 }
 
 } // namespace fernward::downstream
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -54,6 +54,10 @@
   ParseError error() const { return error_; }
   std::uint64_t received_bytes() const { return received_bytes_; } // body bytes, without framing
   std::optional<std::uint64_t> length() const;                     // if announced
+  // Bytes of the body that are missing, if its length is announced.
+  std::optional<std::uint64_t> missing_bytes() const {
+    return length() ? std::optional(remaining_bytes_) : std::nullopt;
+  }
   bool ends_with_connection() const { return kind_ == Kind::UntilClose; }
 
  private:
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -146,10 +146,7 @@
   if (kind == TimerKind::Tick) return tick();
   RequestState* request = find_request(timer_request(timer.token));
   if (request == nullptr || request->streaming) return;
-  if (kind == TimerKind::GiveUp)
-    give_up(*request, request->in_flight > 0       ? GiveUpReason::ResponseTimeout
-                      : request->queued_for_origin ? GiveUpReason::QueueTimeout
-                                                   : GiveUpReason::NotSent);
+  if (kind == TimerKind::GiveUp) return on_give_up_timer(*request);
   if (kind == TimerKind::RetryOrigin && request->in_flight == 0) {
     if (request->queued_for_origin) {
       dispatch_to_origin();
@@ -227,6 +224,7 @@
   std::visit(Overloaded{
                  [this](const EndpointList& list) { on_endpoint_list(list); },
                  [this](const Request& received) { on_request(received); },
+                 [this](const DeadlineChanged& changed) { on_deadline_changed(changed); },
                  [this](const AttemptOutcome& outcome) { on_attempt_outcome(outcome); },
                  [this](const ResponseStarted& started) { on_response_started(started); },
                  [this](const ClientDisconnected& disconnected) { on_client_disconnected(disconnected); },
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -99,6 +99,9 @@
 
   // cache_selection.cpp: request arrival and cache selection
   void on_request(const Request& new_request);
+  void on_deadline_changed(const DeadlineChanged& event);
+  double response_deadline(const RequestState& request) const;
+  void start_give_up_timer(RequestState& request);
   double latency_objective_ms(const RequestState& request) const;
   using CandidateList = placement::Placement<Replica>::Choice;
   CandidateList cache_candidates(const RequestState& request, std::uint64_t key);
@@ -150,6 +153,7 @@
   void on_client_disconnected(const ClientDisconnected& event);
   void finish_request(RequestState& request, bool served);
   void cancel_attempts(const RequestState& request, std::size_t excluded_attempt);
+  void on_give_up_timer(RequestState& request);
   void give_up(RequestState& request, GiveUpReason reason);
 };
 
--- a/src/policy/cache_selection.cpp
+++ b/src/policy/cache_selection.cpp
@@ -19,13 +19,8 @@
   const ClassSettings& class_settings = settings.classes[new_request.class_index];
   RequestState& request = requests[new_request.id];
   request.params = sanitize_request(new_request, now + class_settings.client_timeout_ms);
-  // If a response after the latency objective has no value, the request ends at the objective.
-  const double objective_deadline =
-      std::max(now, request.params.body_complete_at) + latency_objective_ms(request);
-  request.response_deadline =
-      std::min(request.params.deadline,
-               class_settings.late_response_value_share > 0 ? kNoDeadline : objective_deadline) -
-      settings.event_interval_ms;
+  request.complete_at = std::max(now, request.params.body_complete_at);
+  request.response_deadline = response_deadline(request);
   const std::size_t priority_index =
       2 * new_request.class_index + (tenant_quotas.record_and_check_quota(new_request.tenant) ? 1 : 0);
   request.response_value = admission.priority_weights[priority_index];
@@ -37,7 +32,7 @@
     retry_budget.on_attempt_ended(now, true);
     return give_up(request, GiveUpReason::Shed);
   }
-  emit(SetTimer{request.response_deadline - now, timer_token(TimerKind::GiveUp, new_request.id)});
+  start_give_up_timer(request);
   request.slow_start_admitted_share = key_demand.on_request(
       now, new_request.key, outlier_ejection.ready_cache_count(), settings.overload_multiple);
   if (new_request.write && settings.origin_kind >= 0) return queue_for_origin(request);
@@ -45,6 +40,33 @@
   if (!send_to_best_cache(request)) queue_for_origin(request); // gives up if there is no origin
 }
 
+// If a response after the latency objective has no value, the request ends at the objective.
+double Balancer::Impl::response_deadline(const RequestState& request) const {
+  const bool has_late_value = settings.classes[request.params.class_index].late_response_value_share > 0;
+  const double objective_deadline =
+      has_late_value ? kNoDeadline : request.complete_at + latency_objective_ms(request);
+  return std::min(request.params.deadline, objective_deadline) - settings.event_interval_ms;
+}
+
+void Balancer::Impl::start_give_up_timer(RequestState& request) {
+  request.give_up_timer_at = request.response_deadline;
+  emit(SetTimer{request.response_deadline - now, timer_token(TimerKind::GiveUp, request.params.id)});
+}
+
+// A later deadline keeps the timer, which is started again when it fires: so that at most two are pending.
+void Balancer::Impl::on_deadline_changed(const DeadlineChanged& event) {
+  RequestState* request = find_request(event.id);
+  if (request == nullptr || request->streaming) return;
+  if (!std::isfinite(event.deadline) || !is_finite_non_negative(event.body_complete_at)) return;
+  request->params.deadline = event.deadline;
+  request->params.body_complete_at = request->complete_at = event.body_complete_at;
+  request->response_deadline = response_deadline(*request);
+  request->deadline_changed = true;
+  origin_dispatch.queue.set_deadline(event.id, request->response_deadline);
+  if (request->response_deadline <= now) return on_give_up_timer(*request);
+  if (request->response_deadline < request->give_up_timer_at) start_give_up_timer(*request);
+}
+
 double Balancer::Impl::latency_objective_ms(const RequestState& request) const {
   const ClassSettings& class_settings = settings.classes[request.params.class_index];
   if (class_settings.latency_objective_ms > 0)
--- a/src/policy/give_up.cpp
+++ b/src/policy/give_up.cpp
@@ -28,6 +28,16 @@
   }
 }
 
+void Balancer::Impl::on_give_up_timer(RequestState& request) {
+  if (request.deadline_changed && now < request.response_deadline) {
+    if (now >= request.give_up_timer_at) start_give_up_timer(request);
+    return;
+  }
+  give_up(request, request.in_flight > 0       ? GiveUpReason::ResponseTimeout
+                   : request.queued_for_origin ? GiveUpReason::QueueTimeout
+                                               : GiveUpReason::NotSent);
+}
+
 // Rejects if a retry by the client is guaranteed to be safe, otherwise fails. Under overload the maximum
 // Retry-After is sent; otherwise about the duration of a slow attempt.
 void Balancer::Impl::give_up(RequestState& request, GiveUpReason reason) {
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -38,16 +38,15 @@
   ActiveRequest& active_request = *requests_.find(request_id);
   active_request.client = client;
   active_request.request = std::make_shared<const ClientRequest>(std::move(request));
-  // The timeout counts from the last byte of the request. A body is assumed to arrive as late as it may.
-  const double body_complete_at = loop::now_ms() + active_request.request->body_timeout_ms;
-  active_request.deadline = limit_to_shutdown(body_complete_at + active_request.request->timeout_ms);
+  const double received_at_ms = active_request.request->received_at_ms;
+  active_request.deadline = limit_to_shutdown(received_at_ms + active_request.request->timeout_ms);
   active_request.objective_at = active_request.deadline;
   if (active_request.request->class_index < settings_.classes.size()) {
     const fernward::ClassSettings& class_settings = settings_.classes[active_request.request->class_index];
     if (class_settings.latency_objective_ms > 0)
       active_request.objective_at =
           std::min(active_request.deadline,
-                   body_complete_at + class_settings.latency_objective_ms +
+                   received_at_ms + class_settings.latency_objective_ms +
                        class_settings.objective_work_factor * active_request.request->expected_work_ms);
   }
   // A fallback: normally the Balancer ends the request earlier. Half of the grace period is left for the
@@ -64,17 +63,17 @@
   request_event.deadline = active_request.deadline;
   request_event.expected_work_ms = active_request.request->expected_work_ms;
   request_event.write = active_request.request->is_write;
-  if (active_request.request->body_timeout_ms > 0) request_event.body_complete_at = body_complete_at;
+  if (active_request.request->body_arriving) request_event.body_complete_at = received_at_ms;
   enqueue(request_event);
   return request_id;
 }
 
-void RequestDispatcher::body_complete(Handle request_id) {
+void RequestDispatcher::update_received_at(Handle request_id, double received_at_ms) {
   ActiveRequest* active_request = requests_.find(request_id);
   if (active_request == nullptr || active_request->finished || active_request->streaming_attempt != 0) return;
-  // Positive if the body was complete later than open_request() assumed, negative if sooner.
+  // Positive if the body is complete later than assumed before, negative if sooner.
   const double extension_ms =
-      limit_to_shutdown(loop::now_ms() + active_request->request->timeout_ms) - active_request->deadline;
+      limit_to_shutdown(received_at_ms + active_request->request->timeout_ms) - active_request->deadline;
   active_request->deadline += extension_ms;
   active_request->objective_at += extension_ms;
   timers_.cancel(active_request->deadline_timer);
@@ -84,6 +83,7 @@
     if (Attempt* attempt = attempts_.find(attempt_id))
       set_attempt_deadline(*attempt, attempt_id, attempt->deadline + extension_ms);
   }
+  enqueue(fernward::DeadlineChanged{request_id, active_request->deadline, received_at_ms});
 }
 
 double RequestDispatcher::limit_to_shutdown(double deadline) const {
@@ -217,9 +217,7 @@
   ActiveRequest* active_request = requests_.find(request_id);
   if (active_request == nullptr || active_request->finished) return;
   active_request->deadline_timer = 0;
-  // With a streamed body the Balancer's deadline may be later: it is not notified of a body that is complete
-  // before its timeout.
-  if (active_request->request->body_timeout_ms == 0 && loop::now_ms() >= active_request->deadline)
+  if (loop::now_ms() >= active_request->deadline)
     log::line("request-overdue",
               {{"id", active_request->request->id}, {"attempts", active_request->attempts.size()}});
   ClientResponse response; // failed
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -49,13 +49,12 @@
   // RequestDispatcherOptions::discovery_poll_interval_ms.
   void set_discovery_poll(std::function<void()> poll) { discovery_poll_ = std::move(poll); }
 
-  // Adds a request whose last byte has just arrived, or whose body is still arriving (body_timeout_ms > 0).
-  // Returns 0 if there are too many requests.
+  // Adds a request that is complete, or whose body is still arriving. Returns 0 if there are too many requests.
   Handle open_request(Handle client, ClientRequest request);
   // Whether a client waits for a response to a request with this id.
   bool is_waiting_for(const std::string& id) const { return waiting_ids_.count(id) > 0; }
-  // The last byte of a streamed body has arrived: the deadlines are counted from now on.
-  void body_complete(Handle request_id);
+  // The deadlines are counted from `received_at_ms` from now on, see ClientRequest::received_at_ms.
+  void update_received_at(Handle request_id, double received_at_ms);
   void client_disconnected(Handle request_id);
   // The client has received part of a streamed response, and more can be written.
   void response_drained(Handle request_id);
--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -37,7 +37,10 @@
 /// clock time.
 struct RequestState {
   Request params;
+  double complete_at = 0;               // arrival of its last byte, expected while the body arrives
   double response_deadline = 0;         // the final answer is sent by then
+  double give_up_timer_at = 0;          // when the earliest pending GiveUp timer fires
+  bool deadline_changed = false;        // GiveUp timers may fire before response_deadline
   double response_value = 0;            // of a response in time, by priority
   double slow_start_admitted_share = 1; // share admitted to caches in slow start, see placement::KeyDemand
   std::vector<Attempt> attempts;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -145,7 +145,9 @@
             return dispatcher_.open_request(client, std::move(request));
           },
           [this](const std::string& id) { return dispatcher_.is_waiting_for(id); },
-          [this](loop::Handle request) { dispatcher_.body_complete(request); },
+          [this](loop::Handle request, double received_at_ms) {
+            dispatcher_.update_received_at(request, received_at_ms);
+          },
           [this](loop::Handle request) { dispatcher_.client_disconnected(request); },
           [this] { return endpoint_updater_.is_ready(); },
           [this] { shutdown_.on_connections_closed(); },
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -206,6 +206,41 @@
   EXPECT_TRUE(driver.rejected_or_failed(1));
 }
 
+TEST(RequestLifecycle, EarlierDeadlineOfArrivingBodyEndsRequestThen) {
+  Settings settings = cache_aside_settings();
+  settings.classes[0].late_response_value_share = 0.5;
+  BalancerDriver driver(settings);
+  driver.list_caches(1, true);
+  const double started_at = driver.now;
+  driver.send_request(1, 42,
+                      {.deadline = started_at + 5000, .write = true, .body_complete_at = started_at + 3000});
+  driver.advance(100);
+  driver.send_event(DeadlineChanged{1, started_at + 1500, started_at + 50});
+  driver.advance_to(started_at + 1450);
+  EXPECT_FALSE(driver.rejected_or_failed(1));
+  driver.advance_to(started_at + 1500);
+  EXPECT_TRUE(driver.rejected_or_failed(1));
+}
+
+TEST(RequestLifecycle, LaterDeadlineOfArrivingBodyKeepsRequestUntilThen) {
+  Settings settings = cache_aside_settings();
+  settings.classes[0].late_response_value_share = 0.5;
+  BalancerDriver driver(settings);
+  driver.list_caches(1, true);
+  const double started_at = driver.now;
+  driver.send_request(1, 42,
+                      {.deadline = started_at + 1000, .write = true, .body_complete_at = started_at + 500});
+  for (int i = 1; i <= 9; ++i) { // reading is delayed and resumes, again and again
+    driver.advance(100);
+    driver.send_event(DeadlineChanged{1, started_at + 1000 + 100 * i, started_at + 100 * i});
+    driver.send_event(DeadlineChanged{1, started_at + 5000, started_at + 3000});
+  }
+  driver.advance_to(started_at + 4900);
+  EXPECT_FALSE(driver.rejected_or_failed(1));
+  driver.advance_to(started_at + 5000);
+  EXPECT_TRUE(driver.rejected_or_failed(1));
+}
+
 // Regression: without a latency objective, a constant of three seconds decided which attempts are slow.
 TEST(RequestLifecycle, ClientTimeoutDefinesSlowAttemptsWithoutLatencyObjective) {
   Settings s = plain_settings();
--- a/tests/body_buffers/body_buffers_test.cpp
+++ b/tests/body_buffers/body_buffers_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "body_buffers/buffer_budget.h"
+#include "body_buffers/receive_clock.h"
 #include "body_buffers/response_buffering.h"
 #include "body_buffers/retained_bodies.h"
 
@@ -25,6 +26,27 @@
 
 } // namespace
 
+TEST_CASE("a last byte that is read late was sent when reading stopped at the earliest") {
+  ReceiveClock clock;
+  CHECK(clock.sent_at_ms(100) == 100);
+  clock.on_unread_bytes(100);
+  clock.on_unread_bytes(300); // the delay goes on
+  CHECK(clock.is_delayed());
+  CHECK(clock.sent_at_ms(500) == 100);
+  CHECK(clock.on_caught_up(600) == 500);
+  CHECK_FALSE(clock.is_delayed());
+  CHECK(clock.sent_at_ms(700) == 700);
+  CHECK(clock.on_caught_up(800) == 0);
+}
+
+TEST_CASE("a last byte cannot have been sent while more bytes are missing than sockets hold") {
+  ReceiveClock clock;
+  clock.on_unread_bytes(100, kMaxSocketBytes + 1);
+  CHECK(clock.sent_at_ms(200) == 200);
+  clock.on_unread_bytes(300, kMaxSocketBytes);
+  CHECK(clock.sent_at_ms(400) == 300);
+}
+
 TEST_CASE("the window is large for few holders and small for many and each holder keeps its reserved part") {
   BufferBudget budget({8 << 20, 256, 4 << 10, 1 << 20, 1.0 / 16});
   BufferBudget::Reservation first(budget);
--- a/tests/net/raw_client.h
+++ b/tests/net/raw_client.h
@@ -38,6 +38,7 @@
   void send(const std::string& text) {
     for (std::size_t at = 0; at < text.size();) {
       const auto n = ::send(fd_, text.data() + at, text.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT);
+      sent_completely = n > 0;
       if (n <= 0) return;
       at += static_cast<std::size_t>(n);
     }
@@ -69,6 +70,7 @@
       }
     }
   }
+  bool sent_completely = true; // the last send()
   std::vector<http::Message> responses;
   std::string received_bytes;             // all bytes, unparsed
   bool closed = false, was_reset = false; // was_reset: closed by a reset
--- a/tests/net/uploads_test.cpp
+++ b/tests/net/uploads_test.cpp
@@ -7,6 +7,8 @@
 
 #include <cstdlib>
 
+#include "delayed_listener.h"
+#include "raw_client.h"
 #include "scripted_peers.h"
 
 using namespace fernward;
@@ -311,6 +313,83 @@
   CHECK(upload.everything_released());
 }
 
+// Guards against a final response that comes seconds after its time, because the router counted the time from when
+// it read the last byte, and did not read it while the server accepted none of the body.
+TEST_CASE(
+    "a long body that its server does not accept: the final response is in time after the last byte is "
+    "sent") {
+  constexpr double kTimeoutMs = 400;
+  const std::string timeout_header = "X-Timeout-Ms: 400\r\n";
+  for (const std::size_t size : {300000ul, 700000ul, 2000000ul}) {
+    for (const bool chunked : {false, true}) {
+      CAPTURE(size);
+      CAPTURE(chunked);
+      DelayedListener origin;
+      UploadFixture upload(BodyStorage::Streamed, [&](Json& file) {
+        file["limits"]["memory_mb"] = 8;
+        file["known"]["endpoints"][2]["address"] = origin.address;
+      });
+      const std::string value = make_value(size);
+      char chunk_line[24];
+      std::snprintf(chunk_line, sizeof chunk_line, "%zx\r\n", size);
+      std::string head =
+          request_head("r1", chunked ? "Transfer-Encoding: chunked\r\n" : content_length_header(size));
+      head.replace(head.find("X-Timeout-Ms: 2000\r\n"), timeout_header.size() + 1, timeout_header);
+      RawClient client(upload.fixture.router->port(),
+                       head + (chunked ? chunk_line + value + "\r\n0\r\n\r\n" : value));
+      REQUIRE(client.sent_completely);
+      const double sent_at_ms = loop::now_ms();
+      CHECK(upload.fixture.wait_until([&] {
+        client.receive_available();
+        return !client.responses.empty() || client.closed;
+      }));
+      REQUIRE(client.responses.size() == 1);
+      CHECK(client.responses[0].status >= 500);
+      CHECK(loop::now_ms() - sent_at_ms < kTimeoutMs + 500);
+    }
+  }
+}
+
+// The guard above must not end requests of clients that are still sending.
+TEST_CASE("a long body that is read late once and sent slowly: the timeout counts from its last byte") {
+  // More than the sockets towards the server hold.
+  constexpr std::size_t kFirstBytes = 11 * kMb, kPartBytes = kMb / 8, kParts = 8;
+  UploadFixture upload(BodyStorage::Streamed, [](Json& file) { file["limits"]["request_bytes"] = 16 << 20; });
+  const std::string value = make_value(kFirstBytes + kParts * kPartBytes);
+  std::string head = request_head("r1", content_length_header(value.size()));
+  head.replace(head.find("2000\r\n"), 4, "400");
+  upload.fixture.origin.reading_paused = true;
+  TestClient client = upload.fixture.connect_client();
+  client.send(head + value.substr(0, kFirstBytes));
+  REQUIRE(upload.fixture.wait_until([&] { return upload.fixture.origin.accepted_connections == 1; }));
+  run_for(upload.fixture.base.get(), 200); // half of the timeout
+  upload.fixture.origin.resume_reading();
+  REQUIRE(upload.fixture.wait_until([&] { return upload.fixture.origin.partial_body_bytes == kFirstBytes; }));
+  for (std::size_t part = 0; part < kParts; ++part) { // twice the timeout
+    run_for(upload.fixture.base.get(), 100);
+    client.send(value.substr(kFirstBytes + part * kPartBytes, kPartBytes));
+  }
+  REQUIRE(upload.fixture.wait_until([&] { return !client.responses.empty() || client.closed; }));
+  REQUIRE(client.responses.size() == 1);
+  CHECK(client.responses[0].status == 200);
+  CHECK(received_body(upload.fixture.origin, 0, value));
+}
+
+// Guards against a pipelined request that gets its whole timeout again after it waited behind another one.
+TEST_CASE("a request that waits unread behind another one: its timeout counts from when it was received") {
+  RouterFixture fixture;
+  fixture.script_caches([](const http::Message&) { return std::string(); });
+  TestClient client = fixture.connect_client();
+  client.send(get_request("/k/1", "r1") + get_request("/k/2", "r2"));
+  REQUIRE(fixture.wait_until([&] { return fixture.requests_sent() == 1; }));
+  run_for(fixture.base.get(), 200); // less than a slow attempt takes
+  fixture.last_requested_cache().write_to_last(ok_response("first"));
+  REQUIRE(fixture.wait_until([&] { return fixture.requests_sent() == 2; }));
+  const auto& requests = fixture.last_requested_cache().requests;
+  REQUIRE(requests.back().header("x-request-id") == "r2");
+  CHECK(std::stod(std::string(requests.back().header("x-timeout-ms"))) <= 1800);
+}
+
 TEST_CASE("a client with Expect: 100-continue may send its body once the request is admitted") {
   UploadFixture upload(BodyStorage::Streamed);
   const std::string value = make_value(400000);
