A new process waits for a silent discovery up to 9 s before it serves

Cause: after 2 s without a list a new process used the list of its configuration, also where discovery's agent had accepted its call and was silent, as in an outage.

Change: while a call is accepted and not answered, where lists are pushed, requests are rejected and /ready answers 503 for up to 9 s. A discovery that refuses or ends calls, or is polled, has 2 s as before.

Time to ready in an outage: up to 9 s in place of 2 s; without one unchanged.

--- a/src/endpoints/endpoint_watch.cpp
+++ b/src/endpoints/endpoint_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 #include <variant>
@@ -203,6 +204,11 @@
   run_actions([&](Actions& actions) { subscription_.on_failed(loop::now_ms(), call_id, failure, actions); });
 }
 
+bool EndpointWatch::is_awaiting_response() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->awaiting_response; });
+}
+
 void EndpointWatch::poll() {
   std::vector<CallId> call_ids;
   for (const auto& [call_id, connection] : connections_) call_ids.push_back(call_id);
--- a/src/endpoints/endpoint_watch.h
+++ b/src/endpoints/endpoint_watch.h
@@ -28,6 +28,8 @@
   EndpointWatch& operator=(const EndpointWatch&) = delete;
 
   const std::string& address() const { return address_; }
+  // Whether discovery has accepted a call and has not answered it, nor failed it.
+  bool is_awaiting_response() const;
   void poll();    // reads responses that have already been received, without waiting for the event loop
   void refresh(); // requests the current list immediately, in addition to the pending poll
 
--- a/src/router/endpoint_updater.cpp
+++ b/src/router/endpoint_updater.cpp
@@ -1,5 +1,6 @@
 #include "router/endpoint_updater.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -12,6 +13,10 @@
 // How long requests are shed while waiting for discovery's first list. After that the configuration's list is
 // used.
 constexpr double kInitialListTimeoutMs = 2000;
+// The same while discovery is silent. An outage may last 8 s, and a restarted process has to be ready within
+// 10 s.
+constexpr double kSilentDiscoveryTimeoutMs = 9000;
+constexpr double kSilenceCheckIntervalMs = 100;
 
 } // namespace
 
@@ -27,10 +32,29 @@
 void EndpointUpdater::load_initial_list(bool inherited) {
   if (inherited || config_.static_nodes || config_.discovery_address.empty()) return load_configured_list();
   if (read_configured_list()) apply(full_list(fernward::EndpointListKind::Cached));
-  initial_list_timer_ = parts_.timers.run_at(loop::now_ms() + kInitialListTimeoutMs, [this] {
-    initial_list_timer_ = 0;
-    log::line("cached-endpoints-used", {{"name", config_.name}, {"waited_ms", kInitialListTimeoutMs}});
-  });
+  const double now = loop::now_ms();
+  initial_list_timer_ =
+      parts_.timers.run_at(now + kInitialListTimeoutMs, [this, now] { check_initial_list(now); });
+}
+
+void EndpointUpdater::check_initial_list(double started_at_ms) {
+  initial_list_timer_ = 0;
+  const double waited_ms = loop::now_ms() - started_at_ms;
+  if (!is_discovery_silent() || waited_ms >= kSilentDiscoveryTimeoutMs)
+    return log::line("cached-endpoints-used", {{"name", config_.name}, {"waited_ms", waited_ms}});
+  if (waited_ms < kInitialListTimeoutMs + kSilenceCheckIntervalMs)
+    log::line("discovery-silent-at-start",
+              {{"name", config_.name}, {"waits_up_to_ms", kSilentDiscoveryTimeoutMs}});
+  initial_list_timer_ = parts_.timers.run_at(
+      std::min(loop::now_ms() + kSilenceCheckIntervalMs, started_at_ms + kSilentDiscoveryTimeoutMs),
+      [this, started_at_ms] { check_initial_list(started_at_ms); });
+}
+
+// Where lists are pushed, discovery answers at once with the changes that it has, and those count from the start
+// of this process. So while it does not answer, the configuration's list may name servers that drain.
+bool EndpointUpdater::is_discovery_silent() const {
+  return config_.settings.discovery == fernward::DiscoveryMode::Push && discovery_watch_ != nullptr &&
+         discovery_watch_->is_awaiting_response();
 }
 
 void EndpointUpdater::load_configured_list() {
--- a/src/router/endpoint_updater.h
+++ b/src/router/endpoint_updater.h
@@ -44,7 +44,9 @@
 
   // Loads the initial list from the configuration. `inherited`: it was just received from the process that
   // this one replaces, and is used immediately. Otherwise, if discovery is configured, requests are shed
-  // until discovery has provided a list, or until kInitialListTimeoutMs has passed and this list is used.
+  // until discovery has provided a list, or until this list is used without it: after
+  // kInitialListTimeoutMs or, while discovery has accepted a call and does not answer it, after
+  // kSilentDiscoveryTimeoutMs.
   void load_initial_list(bool inherited);
   // Applies the list of the configuration. An invalid list is logged and changes nothing.
   void load_configured_list();
@@ -68,6 +70,8 @@
 
  private:
   bool read_configured_list();
+  void check_initial_list(double started_at_ms);
+  bool is_discovery_silent() const;
   fernward::EndpointList full_list(fernward::EndpointListKind kind) const;
   std::optional<std::uint64_t> known_index() const;
   std::unique_ptr<endpoints::EndpointWatch> watch_discovery(const std::string& address);
