Heads have at most 128 fields, and their memory is counted

Cause: the budget of partial requests counted bytes received; a field of four bytes takes 64 bytes of memory and more. With 300 clients that stopped in a head of 4,000 fields the process had 74 MB of private memory, with a limit of 32 MB.

Change: 431 beyond 128 fields, also for responses; Parser::buffered_bytes counts the memory of fields and body.

The new test does not compile on the code before, as it names the limit.

--- a/src/http/message.h
+++ b/src/http/message.h
@@ -12,6 +12,7 @@
 namespace fernward::http {
 
 constexpr std::size_t kMaxBodyBytes = 64 * 1024;
+constexpr std::size_t kMaxHeaderFields = 128;      // a field takes far more memory than its bytes
 constexpr std::size_t kMaxHeaderBytes = 16 * 1024; // start line and all header lines
 
 struct Message {
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -156,6 +156,7 @@
         name == "content-length" || name == "transfer-encoding" || name == "connection";
     return kind_ == MessageKind::Request || affects_framing ? fail(ParseError::Malformed) : void();
   }
+  if (message_.headers.size() == kMaxHeaderFields) return fail(ParseError::HeaderTooLarge);
   message_.headers.emplace_back(std::move(name), value);
 }
 
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -38,8 +38,10 @@
   // Whether part of a message was received.
   bool has_started() const { return state_ != State::StartLine || !partial_line_.empty(); }
   bool expects_body() const { return head_done() && !body_.done(); }
-  // Bytes of this message held in memory.
-  std::size_t buffered_bytes() const { return header_bytes_ + message_.body.size(); }
+  // Memory that this message uses, in bytes.
+  std::size_t buffered_bytes() const {
+    return header_bytes_ + message_.headers.capacity() * sizeof(Header) + message_.body.capacity();
+  }
   const Message& message() const { return message_; }
   BodyParser& body() { return body_; }
   const BodyParser& body() const { return body_; }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -73,6 +73,22 @@
   CHECK(parse_error(head + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab") == ParseError::Malformed);
 }
 
+// Guards against a head of many short fields that takes far more memory than its bytes.
+TEST_CASE("a head has a limited number of fields and its fields are counted as memory") {
+  const auto head_with_fields = [](std::size_t fields) {
+    std::string head = "GET / HTTP/1.1\r\n";
+    for (std::size_t i = 0; i < fields; ++i) head += "a:\r\n";
+    return head;
+  };
+  CHECK(parse(head_with_fields(kMaxHeaderFields) + "\r\n").done());
+  CHECK(parse_error(head_with_fields(kMaxHeaderFields + 1)) == ParseError::HeaderTooLarge);
+  CHECK(parse_error("HTTP/1.1 200 OK\r\n" + head_with_fields(kMaxHeaderFields + 1).substr(16),
+                    MessageKind::Response) == ParseError::HeaderTooLarge);
+  Parser partial(MessageKind::Request);
+  partial.feed(head_with_fields(kMaxHeaderFields));
+  CHECK(partial.buffered_bytes() >= kMaxHeaderFields * sizeof(Header));
+}
+
 // Guards against unbounded memory use.
 TEST_CASE("headers and bodies up to the size limits are accepted and longer ones rejected") {
   const std::string head = "PUT / HTTP/1.1\r\n";
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -270,6 +270,8 @@
 
 TEST_CASE("an invalid request is rejected and closes the connection without being forwarded") {
   RouterFixture fixture;
+  std::string many_fields;
+  for (std::size_t i = 0; i <= http::kMaxHeaderFields; ++i) many_fields += "A:\r\n";
   const auto request = [](const std::string& headers) { return "GET /k HTTP/1.1\r\n" + headers + "\r\n"; };
   const std::vector<std::pair<std::string, int>> table = {
       {"nonsense\r\n\r\n", 400},
@@ -289,6 +291,7 @@
       {"DELETE /k HTTP/1.1\r\nX-Request-ID: r\r\nX-Priority-Class: read\r\n\r\n", 405},
       {"PUT /k HTTP/1.1\r\nContent-Length: 33554433\r\n\r\n" + std::string(65537, 'x'), 413},
       {request("A: " + std::string(70000, 'a') + "\r\n"), 431},
+      {request(many_fields), 431},
   };
   for (const auto& [text, code] : table) {
     TestClient client = fixture.connect_client();
