A long body whose client has left is not completed at the server

Cause: the end of a connection follows its unread bytes. While no server accepted a long body, the router did not read it and could not see that its client had left; later the complete request was sent on.

Change: before the last piece of a long body is passed on, the socket is asked whether the client has closed.

--- a/src/downstream/requests.cpp
+++ b/src/downstream/requests.cpp
@@ -254,6 +254,9 @@
     if (direct) input = read_body_directly(connection, writable_bytes, all_read);
     if (input.empty()) break;
     const http::BodyParser::Piece piece = body.next(input.substr(0, writable_bytes));
+    // While bytes were unread, the end of the connection could not be seen behind them.
+    if (body.done() && loop::peer_has_closed(bufferevent_getfd(connection.socket.get())))
+      return on_connection_event(connection, BEV_EVENT_EOF);
     const bool fits = connection.streamed_body->append(piece.body, io_buffer_);
     if (!direct) loop::consume_input(connection.socket.get(), piece.consumed_bytes);
     if (body.error() == http::ParseError::Malformed) return reject(connection, 400, "malformed", "malformed");
--- a/tests/net/uploads_test.cpp
+++ b/tests/net/uploads_test.cpp
@@ -375,6 +375,38 @@
   CHECK(received_body(upload.fixture.origin, 0, value));
 }
 
+// Guards against a request that is completed seconds after its client has left, because the end of its connection was
+// behind the bytes that the router had not read.
+TEST_CASE(
+    "a client that sends a long body and disconnects while it is not read: the request is never completed") {
+  constexpr std::size_t kSize = 2000000;
+  DelayedListener origin;
+  UploadFixture upload(BodyStorage::Streamed, [&](Json& file) {
+    file["limits"]["memory_mb"] = 8;
+    file["known"]["endpoints"][2]["address"] = origin.address;
+    file["settings"]["limits"]["connect_timeout"] = 9000;
+    for (Json& request_class : file["settings"]["classes"])
+      request_class["aim"] = request_class["give_up"] = 9000;
+  });
+  std::string head = request_head("r1", content_length_header(kSize));
+  head.replace(head.find("2000\r\n"), 4, "9000");
+  {
+    RawClient client(upload.fixture.router->port(), head + make_value(kSize));
+    REQUIRE(client.sent_completely);
+    REQUIRE(upload.fixture.wait_until(
+        [&] { return upload.fixture.router->dispatcher().attempts_in_flight() == 1; }));
+  }
+  origin.clear_backlog();
+  std::string received;
+  CHECK(upload.fixture.wait_until([&] {
+    received += origin.receive_all();
+    return upload.fixture.router->dispatcher().attempts_in_flight() == 0;
+  }));
+  received += origin.receive_all();
+  CHECK(received.size() < kSize);
+  CHECK(upload.everything_released());
+}
+
 // Guards against a pipelined request that gets its whole timeout again after it waited behind another one.
 TEST_CASE("a request that waits unread behind another one: its timeout counts from when it was received") {
   RouterFixture fixture;
