An id stays active until the last attempt of its request has ended

Cause: the id was released with the response or the client's disconnect, while the attempt at the origin, which is not cancelled, was in flight. The id of a long body was checked at its head only. Both let one id run twice.

Change: RequestDispatcher keeps an id as long as its request; it is checked again when a long body is forwarded. 409 for the second request.

Measured: both new tests failed before (2 requests at the origin).

--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -49,8 +49,8 @@
 struct ListenerCallbacks {
   // Returns the handle of the active request. 0: too many requests, or no endpoint list yet.
   std::function<loop::Handle(loop::Handle client, proxy::ClientRequest)> open_request;
-  // Whether a client waits for a response to a request with this id.
-  std::function<bool(const std::string& id)> is_waiting_for;
+  // Whether a request with this id is active: its client waits for a response, or an attempt is in flight.
+  std::function<bool(const std::string& id)> is_active_id;
   // After open_request(): ClientRequest::received_at_ms has changed, because the body is complete or because
   // reading it was delayed or resumed.
   std::function<void(loop::Handle active_request, double received_at_ms)> received_at_changed;
--- a/src/downstream/requests.cpp
+++ b/src/downstream/requests.cpp
@@ -161,7 +161,7 @@
   }
   if (decoded.status != 0) {
     reject(connection, decoded.status, decoded.reason, decoded.reason);
-  } else if (callbacks_.is_waiting_for(decoded.request.id)) {
+  } else if (callbacks_.is_active_id(decoded.request.id)) {
     reject(connection, 409, "X-Request-ID in use", "id in use");
   } else if (connection.pipelined_requests > kMaxPipelinedRequests) {
     reject(connection, 503, "", "pipelined");
@@ -339,6 +339,9 @@
     proxy::ClientRequest request = std::move(*connection.pending_request);
     connection.pending_request.reset();
     connection.request_buffer.set(0);
+    // Another request with the same id may have become active while the body arrived.
+    if (callbacks_.is_active_id(request.id))
+      return reject(connection, 409, "X-Request-ID in use", "id in use");
     request.body_arriving = !complete;
     request.received_at_ms = received_at_ms;
     return open_request(connection, std::move(request));
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -54,7 +54,7 @@
   active_request.deadline_timer = timers_.run_at(active_request.deadline + options_.grace_ms / 2,
                                                  [this, request_id] { on_deadline(request_id); });
   ++unanswered_requests_;
-  waiting_ids_.insert(active_request.request->id);
+  active_ids_.insert(active_request.request->id);
   fernward::Request request_event;
   request_event.id = request_id;
   request_event.class_index = active_request.request->class_index;
@@ -428,7 +428,6 @@
   if (active_request == nullptr || active_request->finished) return;
   active_request->finished = true;
   --unanswered_requests_;
-  waiting_ids_.erase(active_request->request->id);
   timers_.cancel(active_request->deadline_timer);
   if (active_request->streaming_attempt != 0) {
     downstream_->end_response(active_request->client, complete);
@@ -440,8 +439,10 @@
 
 void RequestDispatcher::remove_if_done(Handle request_id) {
   const ActiveRequest* active_request = requests_.find(request_id);
-  if (active_request != nullptr && active_request->finished && active_request->attempts_in_flight == 0)
-    requests_.remove(request_id);
+  if (active_request == nullptr || !active_request->finished || active_request->attempts_in_flight > 0)
+    return;
+  active_ids_.erase(active_request->request->id);
+  requests_.remove(request_id);
 }
 
 } // namespace fernward::proxy
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -51,8 +51,8 @@
 
   // Adds a request that is complete, or whose body is still arriving. Returns 0 if there are too many requests.
   Handle open_request(Handle client, ClientRequest request);
-  // Whether a client waits for a response to a request with this id.
-  bool is_waiting_for(const std::string& id) const { return waiting_ids_.count(id) > 0; }
+  // Whether a request with this id is active, see the class comment.
+  bool is_active_id(const std::string& id) const { return active_ids_.count(id) > 0; }
   // The deadlines are counted from `received_at_ms` from now on, see ClientRequest::received_at_ms.
   void update_received_at(Handle request_id, double received_at_ms);
   void client_disconnected(Handle request_id);
@@ -146,7 +146,7 @@
   loop::SlotMap<Attempt> attempts_;
   std::deque<fernward::Event> events_;
   std::vector<fernward::Action> actions_;
-  std::unordered_set<std::string> waiting_ids_; // of unfinished requests
+  std::unordered_set<std::string> active_ids_; // of requests_
   std::size_t unanswered_requests_ = 0;
   double respond_to_all_by_ = 0; // 0: no shutdown is in progress
   std::function<void()> discovery_poll_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -144,7 +144,7 @@
             if (endpoint_updater_.is_awaiting_initial_list()) return loop::Handle{0};
             return dispatcher_.open_request(client, std::move(request));
           },
-          [this](const std::string& id) { return dispatcher_.is_waiting_for(id); },
+          [this](const std::string& id) { return dispatcher_.is_active_id(id); },
           [this](loop::Handle request, double received_at_ms) {
             dispatcher_.update_received_at(request, received_at_ms);
           },
--- a/tests/net/concurrent_events_test.cpp
+++ b/tests/net/concurrent_events_test.cpp
@@ -541,7 +541,7 @@
       last_client = client;
       return static_cast<loop::Handle>(request_ids.size());
     };
-    callbacks.is_waiting_for = [](const std::string&) { return false; };
+    callbacks.is_active_id = [](const std::string&) { return false; };
     callbacks.received_at_changed = [](loop::Handle, double) {};
     callbacks.client_disconnected = callbacks.response_drained = [](loop::Handle) {};
     callbacks.is_ready = [] { return true; };
--- a/tests/net/uploads_test.cpp
+++ b/tests/net/uploads_test.cpp
@@ -407,6 +407,47 @@
   CHECK(upload.everything_released());
 }
 
+// Guards against one id that is executed twice: both bodies were arriving when the ids were checked.
+TEST_CASE("two long bodies with the same id that arrive at the same time: the second request gets 409") {
+  UploadFixture upload(BodyStorage::Memory);
+  upload.fixture.origin.script = [](const http::Message&) { return std::string(); };
+  const std::string value = make_value(100000);
+  const std::string head = request_head("r1", content_length_header(value.size()));
+  TestClient first = upload.fixture.connect_client(), second = upload.fixture.connect_client();
+  first.send(head + value.substr(0, 70000));
+  second.send(head + value.substr(0, 70000));
+  REQUIRE(upload.fixture.wait_until(
+      [&] { return upload.fixture.router->retained_bodies().memory_bytes() == 200000; }));
+  first.send(value.substr(70000));
+  REQUIRE(upload.fixture.wait_until([&] { return upload.fixture.origin.requests.size() == 1; }));
+  CHECK(second.send_and_wait(value.substr(70000)).status == 409);
+  upload.fixture.origin.write_to_last(ok_response("stored"));
+  REQUIRE(upload.fixture.wait_until([&] { return !first.responses.empty(); }));
+  CHECK(first.responses[0].status == 200);
+  CHECK(upload.fixture.origin.requests.size() == 1);
+  CHECK(upload.everything_released());
+}
+
+// Guards against one id that is executed twice, as the origin still works for a client that has disconnected.
+TEST_CASE("the id of a request whose client has disconnected is refused while its attempt is in flight") {
+  RouterFixture fixture;
+  fixture.origin.script = [](const http::Message&) { return std::string(); };
+  const std::string request = put_request("/k/1", "r1", "value");
+  {
+    TestClient client = fixture.connect_client();
+    client.send(request);
+    REQUIRE(fixture.wait_until([&] { return fixture.origin.requests.size() == 1; }));
+  }
+  REQUIRE(fixture.wait_until([&] { return fixture.router->dispatcher().unanswered_requests() == 0; }));
+  REQUIRE(fixture.router->dispatcher().attempts_in_flight() == 1);
+  CHECK(fixture.connect_client().send_and_wait(request).status == 409);
+  CHECK(fixture.origin.requests.size() == 1);
+  fixture.origin.write_to_last(ok_response("stored"));
+  REQUIRE(fixture.wait_until([&] { return fixture.router->dispatcher().attempts_in_flight() == 0; }));
+  fixture.origin.script = [](const http::Message&) { return ok_response("stored again"); };
+  CHECK(fixture.connect_client().send_and_wait(request).status == 200); // the id is not remembered
+}
+
 // Guards against a pipelined request that gets its whole timeout again after it waited behind another one.
 TEST_CASE("a request that waits unread behind another one: its timeout counts from when it was received") {
   RouterFixture fixture;
