A planned restart completes the responses that are being transmitted

Cause: GracefulShutdown stopped the event loop 0.6 s after the longest timeout, whatever was being transmitted, though the platform's SIGKILL may come later. A response that a server was still writing was cut off.

Change: the process goes on while a response is streamed or in an output buffer, for up to 60 s.

--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -284,6 +284,15 @@
   if (connections_.size() == 0) callbacks_.all_connections_closed();
 }
 
+bool Listener::is_transmitting() {
+  bool transmitting = false;
+  connections_.for_each([&](Handle, Connection& connection) {
+    transmitting |=
+        connection.state == Connection::State::Streaming || loop::pending_output(connection.socket.get()) > 0;
+  });
+  return transmitting;
+}
+
 void Listener::stop() {
   stop_accepting();
   connections_.for_each([this](Handle, Connection& connection) {
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -102,7 +102,9 @@
   void set_not_ready() { not_ready_ = true; }
   void stop_accepting(); // accepts the pending connections, then closes the listening socket
   void drain();          // from now on each response announces the end of its connection
-  void stop();           // like stop_accepting(), and also closes idle connections
+  // Whether a response is streamed, or is in an output buffer.
+  bool is_transmitting();
+  void stop(); // like stop_accepting(), and also closes idle connections
 
   // ---- hot restart ----
   // The listening descriptor; below 0: the listener has stopped.
--- a/src/router/graceful_shutdown.cpp
+++ b/src/router/graceful_shutdown.cpp
@@ -12,6 +12,8 @@
 constexpr double kResponseGraceMs = 600;     // after the timeout of the last request
 constexpr double kMaxClientTimeoutMs = 3000; // the longest that the platform allows for before SIGKILL
 constexpr double kFailBeforeEndMs = 100;
+constexpr double kMaxFinishingMs = 60000; // of a process that nobody kills
+constexpr double kTransmissionCheckIntervalMs = 50;
 // How often to check whether all passed connections have been sent.
 constexpr double kFlushCheckIntervalMs = 5;
 
@@ -37,7 +39,15 @@
   parts_.dispatcher.respond_to_all_by(now_ms + total_ms - kFailBeforeEndMs);
   const bool is_replaced = hot_restart_ != nullptr && hot_restart_->begin_shutdown();
   if (!is_replaced) schedule_drain(now_ms, total_ms);
-  parts_.timers.run_at(now_ms + total_ms, [this] { stop_loop(); });
+  parts_.timers.run_at(now_ms + total_ms,
+                       [this, end_ms = now_ms + total_ms] { finish_responses(end_ms + kMaxFinishingMs); });
+}
+
+void GracefulShutdown::finish_responses(double finish_by_ms) {
+  const double now_ms = loop::now_ms();
+  if (now_ms >= finish_by_ms || !parts_.listener.is_transmitting()) return stop_loop();
+  parts_.timers.run_at(now_ms + kTransmissionCheckIntervalMs,
+                       [this, finish_by_ms] { finish_responses(finish_by_ms); });
 }
 
 void GracefulShutdown::schedule_drain(double now_ms, double total_ms) {
--- a/src/router/graceful_shutdown.h
+++ b/src/router/graceful_shutdown.h
@@ -8,7 +8,8 @@
 //   Serving    new connections are not accepted, existing ones are served; until end / 2, but not before
 //              kAcceptingMs nor after kMaxServingMs
 //   Draining   each connection is closed after its response; until end
-//   Stopped    the event loop is stopped: at `end`, or once the last connection is closed
+//   Finishing  responses that are being transmitted continue; until none is left, at most kMaxFinishingMs
+//   Stopped    the event loop is stopped: after Finishing, or once the last connection is closed
 //
 // Requests without a response kFailBeforeEndMs before `end` fail with 502, so that their clients are
 // notified; requests that become complete during the shutdown get the remaining time. If a new process
@@ -50,6 +51,8 @@
 
  private:
   void schedule_drain(double now_ms, double total_ms);
+  // Ends once no response is being transmitted, or at `finish_by_ms`.
+  void finish_responses(double finish_by_ms);
   void stop_loop();
 
   GracefulShutdownParts parts_;
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -307,6 +307,30 @@
   CHECK(max_open_descriptors > 150); // descriptors that the other side does not need are used
 }
 
+// Guards against a planned restart that cuts off a response which its server is still writing.
+TEST_CASE("SIGTERM while a server writes a long response for longer than any timeout: it is completed") {
+  constexpr std::size_t kPartBytes = 256 << 10, kParts = 8;
+  ServiceFixture fixture;
+  const std::string value(kParts * kPartBytes, 'v');
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(value.size()) + "\r\n\r\n";
+  fixture.cache.script = [&](const http::Message&) { return head + value.substr(0, kPartBytes); };
+  TestProgram program({"serve"}, fixture.config());
+  TestClient client(fixture.base.get(), fixture.wait_for_port(program));
+  client.send(get_request("/k/1", "r1"));
+  REQUIRE(fixture.wait_until([&] { return client.partial_body_bytes() == kPartBytes; }));
+  program.signal(SIGTERM);
+  for (std::size_t part = 1; part < kParts; ++part) { // 4.2 s; the longest timeout is 2 s
+    run_for(fixture.base.get(), 600);
+    CHECK_FALSE(program.has_exited());
+    fixture.cache.write_to_last(value.substr(part * kPartBytes, kPartBytes));
+  }
+  REQUIRE(fixture.wait_until([&] { return !client.responses.empty() || client.closed; }));
+  REQUIRE(client.responses.size() == 1);
+  CHECK(client.responses[0].body == value);
+  REQUIRE(fixture.wait_until([&] { return program.has_exited(); }));
+  CHECK(program.exit_code == 0);
+}
+
 TEST_CASE("SIGHUP and SIGTERM while a response is forwarded: it is completed and the program exits") {
   ServiceFixture fixture;
   const std::string value(3 << 20, 'v');
