The timeout told to a server for a long body is at most the client's

Cause: the attempt's deadline includes the time that an arriving body may take, and was told as the time left. A server starts at the last byte, and was told over 5 s for clients that wait 1.5 s.

Change: the told time is bounded by the client's timeout.

--- a/src/upstream/request_writer.cpp
+++ b/src/upstream/request_writer.cpp
@@ -29,8 +29,9 @@
       silence_timeout_ms_(silence_timeout_ms) {}
 
 void RequestWriter::write(UpstreamConnection& connection, const std::string& host) {
-  loop::write_or_enqueue(connection.socket.get(),
-                         encode(*connection.request, host, connection.deadline_ms - now_ms()));
+  // The endpoint starts at the last byte. The time that the body may take to arrive until then is not the client's.
+  const double timeout_ms = std::min(connection.deadline_ms - now_ms(), connection.request->timeout_ms);
+  loop::write_or_enqueue(connection.socket.get(), encode(*connection.request, host, timeout_ms));
   UploadProgress& progress = connection.upload;
   progress.stage = Stage::Flushing;
   if (connection.request->streamed_body == nullptr) return count_sent(connection);
--- a/tests/net/uploads_test.cpp
+++ b/tests/net/uploads_test.cpp
@@ -313,6 +313,17 @@
   CHECK(upload.everything_released());
 }
 
+// Guards against servers that work on for seconds after the client has given up.
+TEST_CASE("the timeout told to the server of a long body that is arriving is at most the client's") {
+  UploadFixture upload(BodyStorage::Streamed);
+  const std::string value = make_value(kMb);
+  TestClient client = upload.fixture.connect_client();
+  client.send(request_head("r1", content_length_header(value.size())) + value.substr(0, kMb / 2));
+  REQUIRE(upload.fixture.wait_until([&] { return upload.fixture.origin.partial_body_bytes > 0; }));
+  CHECK(client.send_and_wait(value.substr(kMb / 2)).status == 200);
+  CHECK(std::stod(std::string(upload.fixture.origin.requests.at(0).header("x-timeout-ms"))) <= 2000);
+}
+
 // Guards against a final response that comes seconds after its time, because the router counted the time from when
 // it read the last byte, and did not read it while the server accepted none of the body.
 TEST_CASE(
