Lab: a test waits for the record of a notification that it has already read

Cause: "a congested discovery answers all routers in turn and in pieces" looked for the fleet's record at once after reading the response. The fleet's own thread writes the record after the response, and may be preempted in between: the check was a race of two threads of the test, and no rule demands that order.

Change: the test waits until a record is there, as its neighbours do, and then demands exactly one that is not assumed, as before.

--- a/tests/lab/peers/agents_test.cpp
+++ b/tests/lab/peers/agents_test.cpp
@@ -210,7 +210,9 @@
   CHECK(notifications_of(fleet, 2).empty());
   const json draining = endpoint_list(first.send_request(watch_request(none, 5000)));
   REQUIRE(draining["endpoints"].size() == 1);
-  const auto notified = notifications_of(fleet, 2);
+  // The fleet's thread records it after the write, which this thread may have read before.
+  std::vector<model::EndpointNotified> notified;
+  REQUIRE(wait_until([&] { return !(notified = notifications_of(fleet, 2)).empty(); }));
   REQUIRE(notified.size() == 1);
   CHECK_FALSE(notified[0].assumed);
 }
