--- a/src/downstream/requests.cpp
+++ b/src/downstream/requests.cpp
@@ -289,9 +289,10 @@
 
 // Between bodies the socket is asked only to end a delay.
 void Listener::update_receive_clock(Connection& connection) {
-  const bool ask_socket = connection.receive_clock.is_delayed();
-  const bool has_input = !loop::pending_input(connection.socket.get()).empty();
-  update_receive_clock(connection, has_input || (ask_socket && has_unread_bytes(connection)));
+  const bool unread = connection.receive_clock.is_delayed()
+                          ? has_unread_bytes(connection)
+                          : !loop::pending_input(connection.socket.get()).empty();
+  update_receive_clock(connection, unread);
 }
 
 void Listener::update_receive_clock(Connection& connection, bool unread) {
--- a/src/policy/cache_selection.cpp
+++ b/src/policy/cache_selection.cpp
@@ -19,7 +19,7 @@
   const ClassSettings& class_settings = settings.classes[new_request.class_index];
   RequestState& request = requests[new_request.id];
   request.params = sanitize_request(new_request, now + class_settings.client_timeout_ms);
-  request.complete_at = std::max(now, request.params.body_complete_at);
+  request.params.body_complete_at = std::max(now, request.params.body_complete_at);
   request.response_deadline = response_deadline(request);
   const std::size_t priority_index =
       2 * new_request.class_index + (tenant_quotas.record_and_check_quota(new_request.tenant) ? 1 : 0);
@@ -44,7 +44,7 @@
 double Balancer::Impl::response_deadline(const RequestState& request) const {
   const bool has_late_value = settings.classes[request.params.class_index].late_response_value_share > 0;
   const double objective_deadline =
-      has_late_value ? kNoDeadline : request.complete_at + latency_objective_ms(request);
+      has_late_value ? kNoDeadline : request.params.body_complete_at + latency_objective_ms(request);
   return std::min(request.params.deadline, objective_deadline) - settings.event_interval_ms;
 }
 
@@ -59,7 +59,7 @@
   if (request == nullptr || request->streaming) return;
   if (!std::isfinite(event.deadline) || !is_finite_non_negative(event.body_complete_at)) return;
   request->params.deadline = event.deadline;
-  request->params.body_complete_at = request->complete_at = event.body_complete_at;
+  request->params.body_complete_at = event.body_complete_at;
   request->response_deadline = response_deadline(*request);
   request->deadline_changed = true;
   origin_dispatch.queue.set_deadline(event.id, request->response_deadline);
--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -37,7 +37,6 @@
 /// clock time.
 struct RequestState {
   Request params;
-  double complete_at = 0;               // arrival of its last byte, expected while the body arrives
   double response_deadline = 0;         // the final answer is sent by then
   double give_up_timer_at = 0;          // when the earliest pending GiveUp timer fires
   bool deadline_changed = false;        // GiveUp timers may fire before response_deadline
--- a/src/router/endpoint_updater.cpp
+++ b/src/router/endpoint_updater.cpp
@@ -33,8 +33,12 @@
   if (inherited || config_.static_nodes || config_.discovery_address.empty()) return load_configured_list();
   if (read_configured_list()) apply(full_list(fernward::EndpointListKind::Cached));
   const double now = loop::now_ms();
-  initial_list_timer_ =
-      parts_.timers.run_at(now + kInitialListTimeoutMs, [this, now] { check_initial_list(now); });
+  initial_list_timer_ = parts_.timers.run_at(now + kInitialListTimeoutMs, [this, now] {
+    if (is_discovery_silent())
+      log::line("discovery-silent-at-start",
+                {{"name", config_.name}, {"waits_up_to_ms", kSilentDiscoveryTimeoutMs}});
+    check_initial_list(now);
+  });
 }
 
 void EndpointUpdater::check_initial_list(double started_at_ms) {
@@ -42,9 +46,6 @@
   const double waited_ms = loop::now_ms() - started_at_ms;
   if (!is_discovery_silent() || waited_ms >= kSilentDiscoveryTimeoutMs)
     return log::line("cached-endpoints-used", {{"name", config_.name}, {"waited_ms", waited_ms}});
-  if (waited_ms < kInitialListTimeoutMs + kSilenceCheckIntervalMs)
-    log::line("discovery-silent-at-start",
-              {{"name", config_.name}, {"waits_up_to_ms", kSilentDiscoveryTimeoutMs}});
   initial_list_timer_ = parts_.timers.run_at(
       std::min(loop::now_ms() + kSilenceCheckIntervalMs, started_at_ms + kSilentDiscoveryTimeoutMs),
       [this, started_at_ms] { check_initial_list(started_at_ms); });
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -206,10 +206,15 @@
   EXPECT_TRUE(driver.rejected_or_failed(1));
 }
 
-TEST(RequestLifecycle, EarlierDeadlineOfArrivingBodyEndsRequestThen) {
+// Requests end at their deadline, not at the latency objective.
+Settings late_value_settings() {
   Settings settings = cache_aside_settings();
   settings.classes[0].late_response_value_share = 0.5;
-  BalancerDriver driver(settings);
+  return settings;
+}
+
+TEST(RequestLifecycle, EarlierDeadlineOfArrivingBodyEndsRequestThen) {
+  BalancerDriver driver(late_value_settings());
   driver.list_caches(1, true);
   const double started_at = driver.now;
   driver.send_request(1, 42,
@@ -223,9 +228,7 @@
 }
 
 TEST(RequestLifecycle, LaterDeadlineOfArrivingBodyKeepsRequestUntilThen) {
-  Settings settings = cache_aside_settings();
-  settings.classes[0].late_response_value_share = 0.5;
-  BalancerDriver driver(settings);
+  BalancerDriver driver(late_value_settings());
   driver.list_caches(1, true);
   const double started_at = driver.now;
   driver.send_request(1, 42,
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -106,6 +106,14 @@
     return received;
   }
 
+  // Checks that the program is ready within `within_ms` after its start, without an answer of discovery.
+  void check_serves_from_known_list(double started_at_ms, double within_ms) {
+    while (ready_status() != 200 && loop::now_ms() - started_at_ms < within_ms) run_for(base.get(), 10);
+    CHECK(ready_status() == 200);
+    CHECK(loop::now_ms() - started_at_ms < within_ms);
+    check_served_by(server_1);
+  }
+
   // Checks that the drain of the first server is received in time and applied.
   void check_drain(const ScriptedDiscovery& source, double begun_ms, double within_ms) {
     if (wait_for_index(source, kDrainIndex, begun_ms, within_ms)) check_served_by(server_2);
@@ -453,11 +461,7 @@
   const double started_at_ms = loop::now_ms();
   fixture.start();
   CHECK(fixture.ready_status() == 503);
-  while (fixture.ready_status() != 200 && loop::now_ms() - started_at_ms < kReadyMs)
-    run_for(fixture.base.get(), 10);
-  CHECK(fixture.ready_status() == 200);
-  CHECK(loop::now_ms() - started_at_ms < kReadyMs);
-  fixture.check_served_by(fixture.server_1);
+  fixture.check_serves_from_known_list(started_at_ms, kReadyMs);
 }
 
 // Discovery that does not accept or ends its calls is not silent: nothing is known to be waiting there.
@@ -472,11 +476,7 @@
   fixture.program = std::make_unique<TestProgram>(std::vector<std::string>{"serve"}, fixture.config);
   REQUIRE(fixture.wait_until([&] { return fixture.program->port() != 0; }));
   CHECK(fixture.ready_status() == 503);
-  while (fixture.ready_status() != 200 && loop::now_ms() - started_at_ms < kServesFromKnownListMs)
-    run_for(fixture.base.get(), 10);
-  CHECK(fixture.ready_status() == 200);
-  CHECK(loop::now_ms() - started_at_ms < kServesFromKnownListMs);
-  fixture.check_served_by(fixture.server_1);
+  fixture.check_serves_from_known_list(started_at_ms, kServesFromKnownListMs);
 }
 
 // Where lists are polled, a change counts only later: waiting for it would cost availability for nothing.
@@ -485,11 +485,7 @@
   DiscoveryFixture fixture([](Json& file) { file["settings"]["registry_mode"] = "ask"; });
   const double started_at_ms = loop::now_ms();
   fixture.start();
-  while (fixture.ready_status() != 200 && loop::now_ms() - started_at_ms < kServesFromKnownListMs)
-    run_for(fixture.base.get(), 10);
-  CHECK(fixture.ready_status() == 200);
-  CHECK(loop::now_ms() - started_at_ms < kServesFromKnownListMs);
-  fixture.check_served_by(fixture.server_1);
+  fixture.check_serves_from_known_list(started_at_ms, kServesFromKnownListMs);
 }
 
 // ---- a drain and requests that are in the router's sockets at the same time ----
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -6,6 +6,7 @@
 #include <sys/syscall.h>
 #include <unistd.h>
 
+#include "delayed_listener.h"
 #include "scripted_peers.h"
 
 // Replaces the C library's connect(), also for libevent: simulates shortages of this machine that no process
@@ -738,20 +739,8 @@
   upstream::ConnectionPoolOptions options;
   options.connect_timeout_ms = 80;
   ConnectionPoolFixture fixture(10, options);
-  const int listener_fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in socket_address{};
-  socket_address.sin_family = AF_INET;
-  socket_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof socket_address;
-  REQUIRE(bind(listener_fd, reinterpret_cast<const sockaddr*>(&socket_address), size) == 0);
-  REQUIRE(listen(listener_fd, 0) == 0);
-  getsockname(listener_fd, reinterpret_cast<sockaddr*>(&socket_address), &size);
-  std::vector<int> backlog_fds;
-  for (int i = 0; i < 4; ++i) {
-    backlog_fds.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-    ::connect(backlog_fds.back(), reinterpret_cast<const sockaddr*>(&socket_address), size);
-  }
-  fixture.set_endpoint("in_service", 0, "127.0.0.1:" + std::to_string(ntohs(socket_address.sin_port)));
+  const DelayedListener server;
+  fixture.set_endpoint("in_service", 0, server.address);
   const double started_at_ms = loop::now_ms();
   REQUIRE(fixture.start_attempt(1) == StartResult::Started);
   REQUIRE(run_until(fixture.base.get(), [&] { return !fixture.results.empty(); }));
@@ -759,8 +748,6 @@
   CHECK(loop::now_ms() - started_at_ms >= 75);
   CHECK(fixture.pool->connection_count() == 0);
   CHECK(fixture.descriptor_budget->used(descriptors::Side::Upstream) == 0);
-  for (const int fd : backlog_fds) close(fd);
-  close(listener_fd);
 }
 
 TEST_CASE("a connection established after its attempt was canceled stays idle for the next one") {
--- a/tests/net/uploads_test.cpp
+++ b/tests/net/uploads_test.cpp
@@ -373,7 +373,8 @@
   TestClient client = upload.fixture.connect_client();
   client.send(head + value.substr(0, kFirstBytes));
   REQUIRE(upload.fixture.wait_until([&] { return upload.fixture.origin.accepted_connections == 1; }));
-  run_for(upload.fixture.base.get(), 200); // half of the timeout
+  run_for(upload.fixture.base.get(), 200);                          // half of the timeout
+  REQUIRE(upload.fixture.router->buffer_budget().held_bytes() > 0); // reading is delayed
   upload.fixture.origin.resume_reading();
   REQUIRE(upload.fixture.wait_until([&] { return upload.fixture.origin.partial_body_bytes == kFirstBytes; }));
   for (std::size_t part = 0; part < kParts; ++part) { // twice the timeout
