A response whose head has come is awaited until its client's deadline

What callers saw: reads and writes refused with 503 at their latency objective while a server was sending the response; the bytes that came later were thrown away.

Cause: the Balancer knew of an attempt only that it was in flight, and gave the request up by time: a class whose late responses are worth nothing ends at its objective. That a server had responded was known to the connection alone. Class of bug: a decision by time where a fact is known.

Change: ResponseHeadReceived tells the Balancer of a successful head without its whole body; such a request is given up at its client's deadline, and its attempt is not cancelled for a retry. A short body is streamed from half of the objective on like a long one, if a part of it has come. A response that has started ends 400 ms after the client's deadline, or after the last byte past it; before, after 5 s of silence.

Costs: an event and a timer for each response that comes in pieces. A read whose server stops after its head is refused at its timeout, not its objective.

--- a/include/fernward/balancer.h
+++ b/include/fernward/balancer.h
@@ -231,6 +231,14 @@
   double elapsed_ms = 0;
 };
 
+/// The head of an attempt's successful response was received, and its body was not complete with it. From then on
+/// the server is known to respond: the request is not given up at its latency objective, only at its deadline.
+/// Optional before a ResponseStarted or an AttemptOutcome.
+struct ResponseHeadReceived {
+  RequestId id = 0;
+  std::uint32_t attempt = 0;
+};
+
 struct ClientDisconnected {
   RequestId id = 0;
 };
@@ -272,8 +280,9 @@
   double observed_at = 0;
 };
 
-using Event = std::variant<EndpointList, Request, DeadlineChanged, AttemptOutcome, ResponseStarted,
-                           ClientDisconnected, TimerFired, HealthCheckResult, FleetState, OutlierReport>;
+using Event =
+    std::variant<EndpointList, Request, DeadlineChanged, AttemptOutcome, ResponseStarted, ClientDisconnected,
+                 TimerFired, HealthCheckResult, FleetState, OutlierReport, ResponseHeadReceived>;
 
 // ---- actions ----
 
--- a/src/body_buffers/response_buffering.h
+++ b/src/body_buffers/response_buffering.h
@@ -3,6 +3,7 @@
 // allow. A response that does not fit starts once `min_start_bytes` have arrived. Units: bytes, milliseconds.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -44,4 +45,15 @@
   return sent_at + (response_deadline - sent_at) / 2;
 }
 
+// Silence that ends a response that has started, once its client has stopped waiting. The client is owed an end at most
+// 500 ms after its timeout.
+constexpr double kOverdueSilenceMs = 400;
+
+// The time at which a response that has started ends without another byte. `last_bytes_at`: when the last one was
+// received. `client_deadline`: when the client stops waiting; until then `silence_timeout_ms` applies alone.
+inline double silence_ends_at(double last_bytes_at, double silence_timeout_ms, double client_deadline) {
+  return std::min(last_bytes_at + silence_timeout_ms,
+                  std::max(client_deadline, last_bytes_at) + kOverdueSilenceMs);
+}
+
 } // namespace fernward::body_buffers
--- a/src/policy/attempt_outcome.cpp
+++ b/src/policy/attempt_outcome.cpp
@@ -252,6 +252,12 @@
   emit(SetTimer{wait_ms, timer_token(TimerKind::RetryOrigin, request.params.id)});
 }
 
+void Balancer::Impl::on_response_head_received(const ResponseHeadReceived& head) {
+  RequestState* request = find_request(head.id);
+  if (request == nullptr || head.attempt >= request->attempts.size()) return;
+  request->attempts[head.attempt].head_received = true;
+}
+
 void Balancer::Impl::on_response_started(const ResponseStarted& started) {
   RequestState* request = find_request(started.id);
   if (request == nullptr || started.attempt >= request->attempts.size() ||
@@ -300,8 +306,8 @@
 // If no second attempt may be in flight, the slow one is cancelled; its outcome then starts the retry.
 void Balancer::Impl::cancel_for_retry(const RequestState& request, std::size_t attempt_index) {
   const bool idempotent = settings.classes[request.params.class_index].idempotency == Idempotency::Idempotent;
-  if (settings.may_cancel && idempotent && retry_budget.balance() >= 1 &&
-      retry_policy.has_attempts_left(request))
+  if (settings.may_cancel && idempotent && !request.attempts[attempt_index].head_received &&
+      retry_budget.balance() >= 1 && retry_policy.has_attempts_left(request))
     emit(Cancel{request.params.id, static_cast<std::uint32_t>(attempt_index)});
 }
 
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -232,6 +232,7 @@
                  [this](const HealthCheckResult& result) { on_health_check_result(result); },
                  [this](const FleetState& fleet) { on_fleet_state(fleet); },
                  [this](const OutlierReport& report) { on_outlier_report(report); },
+                 [this](const ResponseHeadReceived& head) { on_response_head_received(head); },
              },
              event);
 }
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -122,6 +122,7 @@
 
   // attempt_outcome.cpp: attempts that end or are slow
   void on_attempt_outcome(const AttemptOutcome& outcome);
+  void on_response_head_received(const ResponseHeadReceived& head);
   void on_response_started(const ResponseStarted& started);
   void on_health_check_result(const HealthCheckResult& result);
   void record_outcome(RequestState& request, Attempt& attempt, Replica& replica,
@@ -153,6 +154,7 @@
   void on_client_disconnected(const ClientDisconnected& event);
   void finish_request(RequestState& request, bool served);
   void cancel_attempts(const RequestState& request, std::size_t excluded_attempt);
+  double give_up_at(const RequestState& request) const;
   void on_give_up_timer(RequestState& request);
   void give_up(RequestState& request, GiveUpReason reason);
 };
--- a/src/policy/cache_selection.cpp
+++ b/src/policy/cache_selection.cpp
@@ -49,8 +49,8 @@
 }
 
 void Balancer::Impl::start_give_up_timer(RequestState& request) {
-  request.give_up_timer_at = request.response_deadline;
-  emit(SetTimer{request.response_deadline - now, timer_token(TimerKind::GiveUp, request.params.id)});
+  request.give_up_timer_at = give_up_at(request);
+  emit(SetTimer{request.give_up_timer_at - now, timer_token(TimerKind::GiveUp, request.params.id)});
 }
 
 // A later deadline keeps the timer, which is started again when it fires: so that at most two are pending.
@@ -63,8 +63,8 @@
   request->response_deadline = response_deadline(*request);
   request->deadline_changed = true;
   origin_dispatch.queue.set_deadline(event.id, request->response_deadline);
-  if (request->response_deadline <= now) return on_give_up_timer(*request);
-  if (request->response_deadline < request->give_up_timer_at) start_give_up_timer(*request);
+  if (give_up_at(*request) <= now) return on_give_up_timer(*request);
+  if (give_up_at(*request) < request->give_up_timer_at) start_give_up_timer(*request);
 }
 
 double Balancer::Impl::latency_objective_ms(const RequestState& request) const {
--- a/src/policy/give_up.cpp
+++ b/src/policy/give_up.cpp
@@ -28,8 +28,15 @@
   }
 }
 
+// A server that has begun to respond has done its work: its response is awaited until the client's deadline, even if
+// it has no value after the latency objective.
+double Balancer::Impl::give_up_at(const RequestState& request) const {
+  if (!request.awaits_body()) return request.response_deadline;
+  return std::max(request.response_deadline, request.params.deadline - settings.event_interval_ms);
+}
+
 void Balancer::Impl::on_give_up_timer(RequestState& request) {
-  if (request.deadline_changed && now < request.response_deadline) {
+  if ((request.deadline_changed || request.awaits_body()) && now < give_up_at(request)) {
     if (now >= request.give_up_timer_at) start_give_up_timer(request);
     return;
   }
@@ -41,7 +48,7 @@
 // Rejects if a retry by the client is guaranteed to be safe, otherwise fails. Under overload the maximum
 // Retry-After is sent; otherwise about the duration of a slow attempt.
 void Balancer::Impl::give_up(RequestState& request, GiveUpReason reason) {
-  if (request.in_flight > 0 && now < request.response_deadline)
+  if (request.in_flight > 0 && now < give_up_at(request))
     return; // an attempt in flight may still be answered
   if (retry_policy.client_may_retry(request)) {
     const bool overloaded = reason == GiveUpReason::Shed || reason == GiveUpReason::QueueTimeout ||
--- a/src/proxy/attempt_callbacks.h
+++ b/src/proxy/attempt_callbacks.h
@@ -37,6 +37,12 @@
 
   virtual void on_attempt_complete(Handle attempt, AttemptCompletion completion) = 0;
 
+  // The head of a successful response was received, and its body is incomplete.
+  virtual void on_response_head(Handle attempt) = 0;
+
+  // When the client stops waiting (loop::now_ms() clock), if the attempt's request is active.
+  virtual double client_deadline(Handle attempt) = 0;
+
   // The time (loop::now_ms() clock) until which an incomplete response may be buffered, see
   // body_buffers/response_buffering.h.
   virtual double buffer_until(Handle attempt) = 0;
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -112,6 +112,17 @@
 
 // ---- streamed responses ----
 
+void RequestDispatcher::on_response_head(Handle attempt_id) {
+  if (const Attempt* attempt = attempts_.find(attempt_id))
+    enqueue(fernward::ResponseHeadReceived{attempt->request, attempt->number});
+}
+
+double RequestDispatcher::client_deadline(Handle attempt_id) {
+  const Attempt* attempt = attempts_.find(attempt_id);
+  const ActiveRequest* active_request = attempt == nullptr ? nullptr : requests_.find(attempt->request);
+  return active_request == nullptr ? 0 : active_request->deadline;
+}
+
 double RequestDispatcher::buffer_until(Handle attempt_id) {
   const Attempt* attempt = attempts_.find(attempt_id);
   const ActiveRequest* active_request = attempt == nullptr ? nullptr : requests_.find(attempt->request);
@@ -136,7 +147,8 @@
     return false;
   if (!downstream_->start_response(active_request->client, std::move(head))) return false;
   active_request->streaming_attempt = attempt_id;
-  // A streamed response has no deadline: upstream and downstream detect a stalled server or client.
+  // The response may take longer than the client's timeout: upstream and downstream detect a stalled server or
+  // client.
   timers_.cancel(active_request->deadline_timer);
   timers_.cancel(attempts_.find(attempt_id)->timeout);
   enqueue(fernward::ResponseStarted{attempt->request, attempt->number, attempt->server,
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -70,6 +70,8 @@
   void update_settings(const fernward::Settings& settings);
 
   void on_attempt_complete(Handle attempt_id, AttemptCompletion completion) override;
+  void on_response_head(Handle attempt_id) override;
+  double client_deadline(Handle attempt_id) override;
   double buffer_until(Handle attempt_id) override;
   bool may_write_request(Handle attempt_id) override;
   bool start_response(Handle attempt_id, ResponseHead head) override;
--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -22,6 +22,7 @@
   bool exempt_from_cancellation = false;
   bool slow = false;             // exceeded the slow attempt threshold
   bool stalled = false;          // slow, and later ones were answered: uses no server capacity
+  bool head_received = false;    // of a successful response, whose body is incomplete
   bool response_started = false; // response is being forwarded: the server has completed its work
 };
 
@@ -37,7 +38,7 @@
 /// clock time.
 struct RequestState {
   Request params;
-  double response_deadline = 0;         // the final answer is sent by then
+  double response_deadline = 0;         // the final answer is sent by then, unless awaits_body()
   double give_up_timer_at = 0;          // when the earliest pending GiveUp timer fires
   bool deadline_changed = false;        // GiveUp timers may fire before response_deadline
   double response_value = 0;            // of a response in time, by priority
@@ -61,6 +62,11 @@
     return std::any_of(attempts.begin(), attempts.end(),
                        [](const Attempt& a) { return a.in_flight && !a.slow; });
   }
+  /// Whether a server has begun to respond, so that the response only has to arrive.
+  bool awaits_body() const {
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [](const Attempt& a) { return a.in_flight && a.head_received; });
+  }
   bool has_missed(ServerId id) const {
     return std::find(cache_misses.begin(), cache_misses.end(), id) != cache_misses.end();
   }
--- a/src/upstream/response_receiver.cpp
+++ b/src/upstream/response_receiver.cpp
@@ -19,7 +19,6 @@
 // With more remaining body bytes, reads bypass libevent, which reads 4 KB at a time.
 constexpr std::uint64_t kDirectReadBytes = 128 * 1024;
 constexpr std::size_t kMaxDiscardedBytes = 64 * 1024; // opening a connection is cheaper than reading more
-constexpr double kChecksPerSilenceTimeout = 4;        // checks per silence timeout
 
 // Bytes after a response make it impossible to delimit the next response.
 std::optional<CloseReason> reason_for_trailing_bytes(std::size_t bytes) {
@@ -31,7 +30,8 @@
 
 void ResponseReceiver::on_readable(UpstreamConnection& connection) {
   if (connection.is(State::Paused)) return;
-  if (!connection.parser.head_done() && !read_head(connection)) return;
+  const bool had_head = connection.parser.head_done();
+  if (!had_head && !read_head(connection)) return;
   bufferevent* const socket = connection.socket.get();
   std::string_view input = loop::pending_input(socket);
   while (!input.empty() || connection.parser.done()) {
@@ -47,7 +47,18 @@
     }
     input = loop::pending_input(socket);
   }
+  const loop::Handle handle = connection.handle;
   read_socket(connection);
+  if (had_head) return;
+  if (UpstreamConnection* const incomplete = context_.connections.find(handle)) on_body_awaited(*incomplete);
+}
+
+// The head has just been received; more of the body is to come if the response is still being received.
+void ResponseReceiver::on_body_awaited(UpstreamConnection& connection) {
+  if (connection.is(State::Buffering)) {
+    context_.attempts.on_response_head(connection.attempt);
+    start_buffering_timeout(connection);
+  }
 }
 
 // False: the head is incomplete, or the connection has been destroyed.
@@ -75,7 +86,7 @@
   response.completion = decode(head, context_.options.load_report_fields);
   response.buffered = {{}, body_buffers::BufferBudget::Reservation(context_.buffer_budget)};
   connection.head_received(response.completion.result == AttemptResult::Ok);
-  if (connection.is(State::Buffering)) start_buffering_timeout(connection);
+  response.buffer_until_ms = context_.attempts.buffer_until(connection.attempt);
   return apply_buffering_rules(connection);
 }
 
@@ -176,6 +187,7 @@
 // Reading resumes from the event loop, because the caller is still using the client connection.
 void ResponseReceiver::resume(UpstreamConnection& connection) {
   connection.resume(now_ms());
+  connection.response.last_bytes_at_ms = now_ms();
   event* const direct_read = connection.response.direct_read.get();
   if (direct_read != nullptr) {
     event_add(direct_read, nullptr);
@@ -252,6 +264,7 @@
   head.content_type = response.completion.content_type;
   head.length = connection.parser.body().length();
   head.body = std::move(response.buffered);
+  response.client_deadline_ms = context_.attempts.client_deadline(connection.attempt);
   connection.buffering_ended(context_.attempts.start_response(connection.attempt, std::move(head)));
   response.last_bytes_at_ms = now_ms();
   start_silence_timeout(connection);
@@ -259,36 +272,37 @@
 
 // Ends buffering in time even if no further bytes arrive.
 void ResponseReceiver::start_buffering_timeout(UpstreamConnection& connection) {
-  DownloadProgress& response = connection.response;
-  response.buffer_until_ms = context_.attempts.buffer_until(connection.attempt);
-  const std::optional<std::uint64_t> length = connection.parser.body().length();
-  if (length && *length <= context_.options.response_limits.min_start_bytes) return;
   context_.timers.cancel(connection.timer);
-  connection.timer = context_.timers.run_at(response.buffer_until_ms, [this, handle = connection.handle] {
-    UpstreamConnection* timed_out = context_.connections.find(handle);
-    if (timed_out == nullptr) return;
-    timed_out->timer = 0;
-    if (timed_out->is(State::Buffering)) apply_buffering_rules(*timed_out);
-  });
+  connection.timer =
+      context_.timers.run_at(connection.response.buffer_until_ms, [this, handle = connection.handle] {
+        UpstreamConnection* timed_out = context_.connections.find(handle);
+        if (timed_out == nullptr) return;
+        timed_out->timer = 0;
+        if (timed_out->is(State::Buffering)) apply_buffering_rules(*timed_out);
+      });
 }
 
 // A streamed response has no other deadline: its endpoint must keep sending while the client keeps reading.
 void ResponseReceiver::start_silence_timeout(UpstreamConnection& connection) {
   context_.timers.cancel(connection.timer);
-  const double next_check_ms = now_ms() + context_.options.silence_timeout_ms / kChecksPerSilenceTimeout;
-  connection.timer = context_.timers.run_at(next_check_ms, [this, handle = connection.handle] {
-    UpstreamConnection* timed_out = context_.connections.find(handle);
-    if (timed_out == nullptr) return;
-    timed_out->timer = 0;
-    check_silence(*timed_out);
-  });
+  connection.timer =
+      context_.timers.run_at(silence_ends_at_ms(connection), [this, handle = connection.handle] {
+        UpstreamConnection* timed_out = context_.connections.find(handle);
+        if (timed_out == nullptr) return;
+        timed_out->timer = 0;
+        check_silence(*timed_out);
+      });
+}
+
+double ResponseReceiver::silence_ends_at_ms(const UpstreamConnection& connection) const {
+  const DownloadProgress& response = connection.response;
+  return body_buffers::silence_ends_at(response.last_bytes_at_ms, context_.options.silence_timeout_ms,
+                                       response.client_deadline_ms);
 }
 
 void ResponseReceiver::check_silence(UpstreamConnection& connection) {
-  double& last_bytes_at_ms = connection.response.last_bytes_at_ms;
-  if (connection.is(State::Paused)) last_bytes_at_ms = now_ms();
-  if (now_ms() - last_bytes_at_ms < context_.options.silence_timeout_ms)
-    return start_silence_timeout(connection);
+  if (connection.is(State::Paused)) connection.response.last_bytes_at_ms = now_ms();
+  if (now_ms() < silence_ends_at_ms(connection)) return start_silence_timeout(connection);
   context_.owner.fail(connection, AttemptResult::TimedOut, CloseReason::ResponseStalled);
 }
 
--- a/src/upstream/response_receiver.h
+++ b/src/upstream/response_receiver.h
@@ -45,6 +45,7 @@
   static void on_direct_readable(int, short, void* connection);
   bool read_head(UpstreamConnection& connection);
   bool on_head(UpstreamConnection& connection);
+  void on_body_awaited(UpstreamConnection& connection);
   void read_socket(UpstreamConnection& connection);
   bool handle_read_end(UpstreamConnection& connection, loop::ReceiveResult received);
   bool stream_block(UpstreamConnection& connection, std::size_t max_bytes, loop::ReceiveResult& received,
@@ -56,6 +57,7 @@
   void stop_buffering(UpstreamConnection& connection);
   void start_buffering_timeout(UpstreamConnection& connection);
   void start_silence_timeout(UpstreamConnection& connection);
+  double silence_ends_at_ms(const UpstreamConnection& connection) const;
   void check_silence(UpstreamConnection& connection);
   void on_malformed_response(UpstreamConnection& connection);
 
--- a/src/upstream/upstream_connection.h
+++ b/src/upstream/upstream_connection.h
@@ -58,7 +58,8 @@
   // Bypasses libevent's input buffer during a long stretch of the body; else null.
   loop::EventPtr direct_read;
   double paused_at_ms = 0;
-  double last_bytes_at_ms = 0; // or when reading could resume
+  double client_deadline_ms = 0; // when the client stops waiting; from the start of streaming on
+  double last_bytes_at_ms = 0;   // or when reading could resume
 };
 
 /// A connection carries one request at a time. States and transitions:
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -330,6 +330,34 @@
   EXPECT_FALSE(driver.rejected_or_failed(1));
 }
 
+// Regression: a request was rejected at its latency objective while a server was sending its response.
+TEST(RequestLifecycle, RequestWhoseResponseHeadHasComeIsGivenUpAtItsDeadline) {
+  for (const bool has_head : {false, true}) {
+    BalancerDriver driver(plain_settings());
+    driver.list_caches(1);
+    const double objective_ms = plain_settings().classes[0].latency_objective_ms;
+    driver.send_request(1, 42, {.deadline = driver.now + 3 * objective_ms});
+    ASSERT_EQ(driver.sends_of(1).size(), 1u);
+    if (has_head) driver.send_event(ResponseHeadReceived{1, 0});
+    driver.advance(2 * objective_ms);
+    EXPECT_EQ(driver.rejected_or_failed(1), !has_head);
+    driver.advance(2 * objective_ms);
+    EXPECT_TRUE(driver.rejected_or_failed(1));
+  }
+}
+
+// Regression: the same, where a broken response is followed by no other attempt in time.
+TEST(RequestLifecycle, RequestWhoseResponseBreaksAfterItsObjectiveIsGivenUpThen) {
+  BalancerDriver driver(plain_settings());
+  driver.list_caches(1);
+  driver.send_request(1, 42, {.deadline = driver.now + 100000});
+  driver.send_event(ResponseHeadReceived{1, 0});
+  driver.advance(2 * plain_settings().classes[0].latency_objective_ms);
+  ASSERT_FALSE(driver.rejected_or_failed(1));
+  driver.end_attempt(1, AttemptResult::Reset, 100);
+  EXPECT_TRUE(driver.rejected_or_failed(1));
+}
+
 // Regression: caches seemed to have no capacity left because a few clients read their responses slowly.
 TEST(RequestLifecycle, StreamedResponseUsesNoCapacityOfItsCache) {
   BalancerDriver driver(plain_settings());
@@ -375,6 +403,17 @@
   EXPECT_EQ(driver.sends_of(1).size(), 2u);
 }
 
+TEST(RequestLifecycle, AttemptWhoseResponseHeadHasComeIsNotCancelledForARetry) {
+  Settings s = plain_settings();
+  s.may_hedge = false;
+  BalancerDriver driver(s);
+  driver.list_caches(3);
+  driver.send_request(1, 42);
+  driver.send_event(ResponseHeadReceived{1, 0});
+  driver.advance(300);
+  EXPECT_TRUE(driver.cancels.empty());
+}
+
 TEST(RequestLifecycle, StartedStreamHasNoDeadline) {
   Settings s = plain_settings();
   s.classes[0].streaming = true;
--- a/tests/body_buffers/body_buffers_test.cpp
+++ b/tests/body_buffers/body_buffers_test.cpp
@@ -185,6 +185,14 @@
   }
 }
 
+TEST_CASE("end of a response whose server is silent") {
+  constexpr double kSilenceTimeoutMs = 5000;
+  CHECK(silence_ends_at(1000, kSilenceTimeoutMs, 100000) == 6000);                   // the client waits
+  CHECK(silence_ends_at(1000, kSilenceTimeoutMs, 1500) == 1500 + kOverdueSilenceMs); // it stops waiting
+  CHECK(silence_ends_at(2000, kSilenceTimeoutMs, 1500) == 2000 + kOverdueSilenceMs); // it has stopped
+  CHECK(silence_ends_at(2000, kOverdueSilenceMs / 2, 1500) == 2000 + kOverdueSilenceMs / 2);
+}
+
 TEST_CASE("retention level of a body") {
   const RetentionLimits limits{1000, 100, 250, 400, 500, 2, 50, 256};
   RetainedBodies bodies(limits);
--- a/tests/net/router_test.cpp
+++ b/tests/net/router_test.cpp
@@ -519,6 +519,8 @@
     results.push_back(completion.result);
     last_completion = std::move(completion);
   }
+  void on_response_head(loop::Handle) override {}
+  double client_deadline(loop::Handle) override { return 1e15; }
   double buffer_until(loop::Handle) override { return 1e15; }
   bool may_write_request(loop::Handle) override { return requests_active; }
   bool start_response(loop::Handle, proxy::ResponseHead) override { return false; }
--- a/tests/upstream/pool_fixture.h
+++ b/tests/upstream/pool_fixture.h
@@ -24,6 +24,8 @@
   void on_attempt_complete(loop::Handle attempt, proxy::AttemptCompletion completion) override {
     ended[attempt] = {completion.result, completion.body.buffer.text()};
   }
+  void on_response_head(loop::Handle) override {}
+  double client_deadline(loop::Handle) override { return loop::now_ms() + 100000; }
   double buffer_until(loop::Handle) override { return loop::now_ms() + 100000; }
   bool may_write_request(loop::Handle) override { return permits_writing; }
   bool start_response(loop::Handle, proxy::ResponseHead) override { return false; }
