A cache miss is acted upon when its head has come, not its body

What callers saw: a read waited for the body of a 404, and was refused at its latency objective if that body was late.

Cause: an attempt ended with the last byte of its response, also where the body is not used and the head tells the outcome.

Change: with a head other than a served one the attempt ends; its connection reads the rest for up to 1 s, and is then closed (long-remains), or reused as before.

An outcome is no longer withdrawn where the rest of such a body is broken.

--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -478,6 +478,13 @@
   record_idle_use(connection, false);
 }
 
+void ConnectionPool::body_unneeded(UpstreamConnection& connection) {
+  connection_by_attempt_.erase(connection.attempt);
+  complete_attempt(connection, std::move(connection.response.completion));
+  connection.upload.reader.reset();
+  connection.request.reset();
+}
+
 void ConnectionPool::response_complete(UpstreamConnection& connection, std::optional<CloseReason> reason) {
   // The request was written, so it may have run.
   if (is_duplicate_response(connection)) {
@@ -494,7 +501,7 @@
   connection_by_attempt_.erase(connection.attempt);
   proxy::AttemptCompletion completion = std::move(connection.response.completion);
   if (connection.is(State::Buffering)) completion.body = std::move(connection.response.buffered);
-  complete_attempt(connection, std::move(completion));
+  if (connection.attempt != 0) complete_attempt(connection, std::move(completion));
   connection.request.reset();
   if (!reason) reason = reason_not_to_pool(connection);
   if (reason) return close(connection, *reason);
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -72,6 +72,7 @@
 
   // Callbacks from the writer and the receiver.
   void response_started(const UpstreamConnection& connection) override;
+  void body_unneeded(UpstreamConnection& connection) override;
   void response_complete(UpstreamConnection& connection, std::optional<CloseReason> reason) override;
   void disconnected(UpstreamConnection& connection, bool end_of_input) override;
   void fail(UpstreamConnection& connection, fernward::AttemptResult result, CloseReason reason) override;
--- a/src/upstream/response_receiver.cpp
+++ b/src/upstream/response_receiver.cpp
@@ -19,6 +19,8 @@
 // With more remaining body bytes, reads bypass libevent, which reads 4 KB at a time.
 constexpr std::uint64_t kDirectReadBytes = 128 * 1024;
 constexpr std::size_t kMaxDiscardedBytes = 64 * 1024; // opening a connection is cheaper than reading more
+// For an unused body to arrive: the connection is then reused. Opening another one takes less time.
+constexpr double kRemainderTimeoutMs = 1000;
 
 // Bytes after a response make it impossible to delimit the next response.
 std::optional<CloseReason> reason_for_trailing_bytes(std::size_t bytes) {
@@ -58,6 +60,9 @@
   if (connection.is(State::Buffering)) {
     context_.attempts.on_response_head(connection.attempt);
     start_buffering_timeout(connection);
+  } else if (connection.is(State::Discarding) && !connection.request_unsent()) {
+    context_.owner.body_unneeded(connection); // the head tells how the attempt has ended
+    start_remainder_timeout(connection);
   }
 }
 
@@ -282,6 +287,18 @@
       });
 }
 
+// The remainder of an unused body is read for the reuse of its connection only.
+void ResponseReceiver::start_remainder_timeout(UpstreamConnection& connection) {
+  context_.timers.cancel(connection.timer);
+  connection.timer =
+      context_.timers.run_at(now_ms() + kRemainderTimeoutMs, [this, handle = connection.handle] {
+        UpstreamConnection* timed_out = context_.connections.find(handle);
+        if (timed_out == nullptr) return;
+        timed_out->timer = 0;
+        context_.owner.fail(*timed_out, AttemptResult::TimedOut, CloseReason::LongRemainder);
+      });
+}
+
 // A streamed response has no other deadline: its endpoint must keep sending while the client keeps reading.
 void ResponseReceiver::start_silence_timeout(UpstreamConnection& connection) {
   context_.timers.cancel(connection.timer);
--- a/src/upstream/response_receiver.h
+++ b/src/upstream/response_receiver.h
@@ -56,6 +56,7 @@
   std::size_t read_allowance(UpstreamConnection& connection);
   void stop_buffering(UpstreamConnection& connection);
   void start_buffering_timeout(UpstreamConnection& connection);
+  void start_remainder_timeout(UpstreamConnection& connection);
   void start_silence_timeout(UpstreamConnection& connection);
   double silence_ends_at_ms(const UpstreamConnection& connection) const;
   void check_silence(UpstreamConnection& connection);
--- a/src/upstream/upstream_connection.h
+++ b/src/upstream/upstream_connection.h
@@ -142,13 +142,15 @@
   State state_ = State::Connecting;
 };
 
-/// Callbacks from the writer and the receiver to the pool. After each call except response_started() the
+/// Callbacks from the writer and the receiver to the pool. After each call except response_started() and body_unneeded() the
 /// connection may have been destroyed.
 class ConnectionOwner {
  public:
   virtual ~ConnectionOwner() = default;
   /// The endpoint is alive: it has sent a response's head, or other bytes instead of one.
   virtual void response_started(const UpstreamConnection& connection) = 0;
+  /// The attempt has ended with the head of its response; the connection discards the rest of the body.
+  virtual void body_unneeded(UpstreamConnection& connection) = 0;
   /// `reason`: why the connection cannot be reused; empty if it may be reused.
   virtual void response_complete(UpstreamConnection& connection, std::optional<CloseReason> reason) = 0;
   /// The connection broke, or the peer ended its stream.
--- a/tests/net/late_bodies_test.cpp
+++ b/tests/net/late_bodies_test.cpp
@@ -145,3 +145,20 @@
     }
   }
 }
+
+// Guards against waiting for a body that is not used.
+TEST_CASE("a cache miss whose body is late is continued at the origin at once") {
+  LateBodyFixture fixture;
+  fixture.cache.script = [](const http::Message&) {
+    return std::string("HTTP/1.1 404 Not Found\r\nContent-Length: 10\r\n\r\n");
+  };
+  fixture.origin.script = [](const http::Message&) { return ok_response("from origin"); };
+  TestClient client(fixture.base.get(), fixture.program->port());
+  CHECK(client.send_and_wait(get_request("/k/1", "r1")).body == "from origin");
+  // Its connection is used again once the body has come.
+  fixture.cache.write_to(0, "not found\n");
+  fixture.cache.script = [](const http::Message&) { return ok_response("from cache"); };
+  run_for(fixture.base.get(), 100);
+  CHECK(client.send_and_wait(get_request("/k/1", "r2")).body == "from cache");
+  CHECK(fixture.cache.accepted_connections == 1);
+}
