Short bodies count against the memory for requests until their request ends

What callers saw: a router that was killed for its memory, with all that it had taken.

Cause: the bytes of a request were counted while it was incomplete, and no longer once it was complete: hundreds of bodies of up to 64 KiB wait at an origin that hangs. Up to 16 KiB that a client had sent ahead of its response were in no budget either. Class of bug: memory that is released from its budget before it is freed.

Change: a complete short body holds a lease until the last attempt of its request has ended. Such bodies may use three quarters of the budget, classes of less weight down to half of that; beyond it the request is rejected with 503 and its connection stays open. Requests of up to 2 KB are never rejected for it. 4 KiB are read ahead instead of 16.

Who is hurt when nothing is wrong: more than 48 bodies of 64 KiB at once with 32 MB, 288 with 192 MB, in the class of the greatest weight.

--- a/src/descriptors/descriptor_budget.h
+++ b/src/descriptors/descriptor_budget.h
@@ -80,26 +80,41 @@
   double refused_at_ = 0;
 };
 
-// Budget of the bytes of requests that are not completely received. Response bytes have a separate budget,
-// see body_buffers/.
+// Budget of the bytes of requests: of incomplete ones, and of complete short bodies until their request ends. Response
+// bytes and long bodies have a separate budget, see body_buffers/.
+//
+// Complete bodies may use kMaxCompleteShare of it, and the classes of less weight a smaller part, so that they are
+// rejected first and incomplete requests find room. A request of up to kSmallRequestBytes is never rejected: the
+// descriptors bound their number.
 class RequestBufferBudget {
  public:
+  static constexpr double kMaxCompleteShare = 0.75;
+  static constexpr std::size_t kSmallRequestBytes = 2048;
+
   explicit RequestBufferBudget(std::size_t total_bytes) : total_bytes_(total_bytes) {}
   RequestBufferBudget(const RequestBufferBudget&) = delete;
   RequestBufferBudget& operator=(const RequestBufferBudget&) = delete;
 
-  // Bytes of one connection; returned on destruction.
+  // Bytes of one request; returned on destruction.
   class Lease {
    public:
+    Lease() = default; // without a budget: holds no bytes
     explicit Lease(RequestBufferBudget& budget) : budget_(&budget) {}
-    Lease(const Lease&) = delete;
-    Lease& operator=(const Lease&) = delete;
+    Lease(Lease&& other) noexcept
+        : budget_(std::exchange(other.budget_, nullptr)), bytes_(std::exchange(other.bytes_, 0)) {}
+    Lease& operator=(Lease&& other) noexcept {
+      std::swap(budget_, other.budget_);
+      std::swap(bytes_, other.bytes_);
+      return *this;
+    }
     ~Lease() { set(0); }
-    void set(std::size_t bytes) { budget_->used_bytes_ += bytes - std::exchange(bytes_, bytes); }
+    void set(std::size_t bytes) {
+      if (budget_ != nullptr) budget_->used_bytes_ += bytes - std::exchange(bytes_, bytes);
+    }
     std::size_t bytes() const { return bytes_; }
 
    private:
-    RequestBufferBudget* budget_;
+    RequestBufferBudget* budget_ = nullptr;
     std::size_t bytes_ = 0;
   };
 
@@ -107,8 +122,17 @@
   void set_total_bytes(std::size_t total_bytes) {
     total_bytes_ = total_bytes;
   } // existing leases are unchanged
-  // If true, the caller must reject the next request that grows.
-  bool exceeded() const { return used_bytes_ > total_bytes_; }
+  // Whether an incomplete request that holds `bytes` must be rejected.
+  bool must_reject_incomplete(std::size_t bytes) const {
+    return used_bytes_ > total_bytes_ && bytes > kSmallRequestBytes;
+  }
+  // Whether a complete body of `bytes` may be held. `weight_share`: the weight of its class relative to the greatest
+  // weight of all classes, from 0 to 1; half of the part for complete bodies is open to every class.
+  bool admits_complete(std::size_t bytes, double weight_share) const {
+    const double share = kMaxCompleteShare * (0.5 + 0.5 * weight_share);
+    return bytes <= kSmallRequestBytes ||
+           static_cast<double>(used_bytes_ + bytes) <= share * static_cast<double>(total_bytes_);
+  }
 
  private:
   std::size_t total_bytes_;
--- a/src/downstream/listener.h
+++ b/src/downstream/listener.h
@@ -128,7 +128,7 @@
 
  private:
   // Limit of the input buffered ahead of the current request.
-  static constexpr std::size_t kMaxReadAheadBytes = 16 * 1024;
+  static constexpr std::size_t kMaxReadAheadBytes = 4 * 1024;
 
   struct Connection {
     Connection(descriptors::RequestBufferBudget& request_buffers, body_buffers::BufferBudget& buffer_budget,
@@ -201,7 +201,9 @@
   bool admit(Connection& connection, DecodedRequest& decoded, bool complete); // false: it has been rejected
   // Forwards the request to the router.
   void open_request(Connection& connection, proxy::ClientRequest request);
+  void shed(Connection& connection, const char* close_code);
   void reject(Connection& connection, int status, const char* text, const char* close_code);
+  bool reserve_body_memory(proxy::ClientRequest& request);
   void start_streamed_body(Connection& connection);
   void read_streamed_body(Connection& connection);
   void forward_request(Connection& connection); // once the body is complete or may be streamed
--- a/src/downstream/requests.cpp
+++ b/src/downstream/requests.cpp
@@ -85,7 +85,7 @@
     connection.head_received_at_ms = now_ms();
   if (connection.parser.has_started()) admission_.on_request_partial(now_ms(), connection.handle);
   connection.request_buffer.set(connection.parser.buffered_bytes());
-  if (request_buffers_.exceeded()) {
+  if (request_buffers_.must_reject_incomplete(connection.request_buffer.bytes())) {
     return send_short_response(connection, encode_shed(options_.shed_retry_after_ms, false), false,
                                "buffers-full");
   }
@@ -145,9 +145,29 @@
   if (!admit(connection, decoded, true)) return;
   timers_.cancel(connection.timer);
   decoded.request.received_at_ms = received_at_ms;
+  if (!reserve_body_memory(decoded.request)) {
+    admission_.on_request_complete(now_ms(), connection.handle);
+    return shed(connection, "buffers-full");
+  }
   open_request(connection, std::move(decoded.request));
 }
 
+// False: the budget has no room for the body of a request of this class.
+bool Listener::reserve_body_memory(proxy::ClientRequest& request) {
+  if (request.body.empty()) return true;
+  const std::vector<fernward::ClassSettings>& classes = rules_.settings.classes;
+  double greatest_weight = 0;
+  for (const fernward::ClassSettings& other : classes)
+    greatest_weight = std::max(greatest_weight, other.priority_weight);
+  const double weight = classes[request.class_index].priority_weight;
+  const double weight_share = greatest_weight > 0 ? weight / greatest_weight : 1;
+  if (!request_buffers_.admits_complete(request.body.size(), weight_share)) return false;
+  request.body.shrink_to_fit();
+  request.body_memory = std::make_shared<descriptors::RequestBufferBudget::Lease>(request_buffers_);
+  request.body_memory->set(request.body.size());
+  return true;
+}
+
 DecodedRequest Listener::decode(http::Message request) {
   DecodedRequest decoded = downstream::decode(std::move(request), rules_);
   if (decoded.status == 0 && decoded.request.id.empty())
@@ -179,10 +199,14 @@
   const bool complete = !request.body_arriving;
   connection.active_request = callbacks_.open_request(connection.handle, std::move(request));
   if (connection.active_request != 0) return;
-  if (!complete) return reject(connection, 503, "", "shed");
+  complete ? shed(connection, "shed") : reject(connection, 503, "", "shed");
+}
+
+// Rejects a complete request that was never forwarded; the connection stays open.
+void Listener::shed(Connection& connection, const char* close_code) {
   connection.request_statistics.end(figures::Outcome::Deferred);
   send_short_response(connection, encode_shed(options_.shed_retry_after_ms, connection.keep_alive),
-                      connection.keep_alive, "shed");
+                      connection.keep_alive, close_code);
 }
 
 // Rejects a request and closes the connection, with an error response if no response has started. 503: shed.
--- a/src/proxy/client_request.h
+++ b/src/proxy/client_request.h
@@ -5,14 +5,17 @@
 #include <memory>
 #include <string>
 
+#include "descriptors/descriptor_budget.h"
 #include "proxy/request_body.h"
 
 namespace fernward::proxy {
 
 struct ClientRequest {
   bool is_write = false;
-  std::string path;                           // with the query; sent upstream unchanged
-  std::string body;                           // a short body, complete
+  std::string path; // with the query; sent upstream unchanged
+  std::string body; // a short body, complete
+  std::shared_ptr<descriptors::RequestBufferBudget::Lease>
+      body_memory;                            // of the short body; null: it has none
   std::shared_ptr<RequestBody> streamed_body; // a long body, which may still be arriving; else null
   bool body_arriving = false;                 // the body is not complete yet
   // When the last byte of the request was received, or may have been sent if the router read it late. While the
--- a/tests/descriptors/descriptors_test.cpp
+++ b/tests/descriptors/descriptors_test.cpp
@@ -70,15 +70,33 @@
     RequestBufferBudget::Lease first(buffers), second(buffers);
     first.set(600);
     second.set(400);
-    CHECK_FALSE(buffers.exceeded());
+    CHECK_FALSE(buffers.must_reject_incomplete(100000));
     second.set(401);
-    CHECK(buffers.exceeded());
+    CHECK(buffers.must_reject_incomplete(100000));
+    CHECK(buffers.must_reject_incomplete(RequestBufferBudget::kSmallRequestBytes + 1));
+    CHECK_FALSE(buffers.must_reject_incomplete(RequestBufferBudget::kSmallRequestBytes));
     first.set(10);
-    CHECK_FALSE(buffers.exceeded());
+    CHECK_FALSE(buffers.must_reject_incomplete(100000));
   }
   CHECK(buffers.used_bytes() == 0);
 }
 
+TEST_CASE("complete bodies use a part of the request budget by the weight of their class") {
+  constexpr std::size_t kTotal = 80000;
+  RequestBufferBudget buffers(kTotal);
+  RequestBufferBudget::Lease held(buffers);
+  held.set(10000);
+  CHECK(buffers.admits_complete(50000, 1));       // up to three quarters
+  CHECK_FALSE(buffers.admits_complete(50001, 1)); // the rest is for incomplete requests
+  CHECK(buffers.admits_complete(20000, 0));       // half of that for a class without weight
+  CHECK_FALSE(buffers.admits_complete(20001, 0));
+  held.set(2 * kTotal);
+  CHECK(buffers.admits_complete(RequestBufferBudget::kSmallRequestBytes, 0)); // bounded by the descriptors
+  CHECK_FALSE(buffers.admits_complete(RequestBufferBudget::kSmallRequestBytes + 1, 1));
+  RequestBufferBudget::Lease moved = std::move(held);
+  CHECK(buffers.used_bytes() == 2 * kTotal);
+}
+
 TEST_CASE("properties of the descriptor budget over random events") {
   CHECK(rc::check("reserves and sums hold, lent descriptors are reclaimed, each lease returns once", [] {
     const auto total = *rc::gen::inRange<std::size_t>(0, 300);
