A further SIGTERM at the end of a shutdown no longer looks like a crash

Cause: the signal handlers end with the event loop; a signal that came while the process was freeing its memory ended it by the default action (exit status 143).

Change: the signals are blocked once the loop has ended.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -95,6 +95,14 @@
   config.max_descriptors = static_cast<std::uint32_t>(descriptor_limit.rlim_cur);
 }
 
+// A further signal would end the process by its default action once the handlers are gone, and look like a crash.
+void block_termination_signals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, number);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
 int run_router(config::Config config, RunContext context,
                const std::optional<config::RouterFleetConfig>& fleet) {
   signal(SIGPIPE, SIG_IGN);
@@ -113,6 +121,7 @@
     event_add(signals.back().get(), nullptr);
   }
   event_base_dispatch(base.get());
+  block_termination_signals();
   return arguments::kSuccess;
 }
 
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -98,6 +98,19 @@
   CHECK(client.responses[0].body == "in time");
 }
 
+// Guards against an end that looks like a crash.
+TEST_CASE("SIGTERM again and again: the program exits with 0") {
+  for (int run = 0; run < 10; ++run) {
+    ServiceFixture fixture;
+    TestProgram program({"serve"}, fixture.config());
+    fixture.wait_for_port(program);
+    program.signal(SIGTERM);
+    REQUIRE(fixture.wait_until([&] { return program.output_contains("graceful-shutdown"); }));
+    while (!program.has_exited()) program.signal(SIGTERM);
+    CHECK(program.exit_code == 0);
+  }
+}
+
 // Guards against a restart that moves all of its clients to other routers at once while it can still serve
 // them.
 TEST_CASE("SIGTERM: kept connections are served for a while and closed in time") {
