--- a/tests/net/scripted_peers.h
+++ b/tests/net/scripted_peers.h
@@ -136,13 +136,15 @@
   std::string address;
   std::vector<http::Message> requests;
   int accepted_connections = 0;
-  double last_request_at_ms = 0;       // when the last request was complete
-  double last_request_began_at_ms = 0; // when the first byte of that request was received
-  bool response_complete = true;       // for scripts: whether their last response was complete
+  double last_request_at_ms = 0;         // when the last request was complete
+  double last_request_began_at_ms = 0;   // when the first byte of that request was received
+  std::size_t requesting_connection = 0; // of the last request, as an index for write_to()
+  bool response_complete = true;         // for scripts: whether their last response was complete
 
  private:
   struct Connection {
     ScriptedServer* server;
+    std::size_t index = 0; // in the order in which they were accepted
     loop::BuffereventPtr buffer_event;
     bool close_after_write = false; // closes when all output is written
     bool early_response_sent = false;
@@ -155,6 +157,7 @@
     ++peer->accepted_connections;
     Connection& connection = *peer->connections_.emplace_back(std::make_unique<Connection>());
     connection.server = peer;
+    connection.index = peer->connections_.size() - 1;
     connection.buffer_event = loop::make_bufferevent(peer->base_, fd);
     bufferevent_setcb(
         connection.buffer_event.get(),
@@ -189,6 +192,7 @@
       if (!connection.parser.done()) return;
       requests.push_back(connection.parser.take_message());
       last_connection_ = &connection;
+      requesting_connection = connection.index;
       last_request_at_ms = loop::now_ms();
       last_request_began_at_ms = connection.request_began_at_ms;
       send(&connection, script(http::Message(requests.back())));
