--- a/tests/sidecar/sidecar_test.cpp
+++ b/tests/sidecar/sidecar_test.cpp
@@ -289,7 +289,8 @@
   CHECK(waiting_client.responses[0].body == "in time");
   fixture.server.script = script;
   CHECK(sequential_client
-            .send_and_wait("GET /k/1 HTTP/1.1\r\nHost: h\r\nX-Request-ID: n1\r\nX-Priority-Class: lookup\r\n\r\n")
+            .send_and_wait(
+                "GET /k/1 HTTP/1.1\r\nHost: h\r\nX-Request-ID: n1\r\nX-Priority-Class: lookup\r\n\r\n")
             .status == 200);
   // The class no longer exists under its old name.
   CHECK(sequential_client.send_and_wait(read_request("n2")).status == 400);
