--- a/include/fernward/balancer.h
+++ b/include/fernward/balancer.h
@@ -181,7 +181,8 @@
   double body_complete_at = 0;
 };
 
-/// The body of a request that is still arriving is complete, or is expected to be at another time than before.
+/// The body of a request that is still arriving is complete, or is expected to be at another time than
+/// before.
 struct DeadlineChanged {
   RequestId id = 0;
   /// As Request::deadline.
@@ -231,9 +232,9 @@
   double elapsed_ms = 0;
 };
 
-/// The head of an attempt's successful response was received, and its body was not complete with it. From then on
-/// the server is known to respond: the request is not given up at its latency objective, only at its deadline.
-/// Optional before a ResponseStarted or an AttemptOutcome.
+/// The head of an attempt's successful response was received, and its body was not complete with it. From
+/// then on the server is known to respond: the request is not given up at its latency objective, only at its
+/// deadline. Optional before a ResponseStarted or an AttemptOutcome.
 struct ResponseHeadReceived {
   RequestId id = 0;
   std::uint32_t attempt = 0;
--- a/src/body_buffers/response_buffering.h
+++ b/src/body_buffers/response_buffering.h
@@ -45,13 +45,14 @@
   return sent_at + (response_deadline - sent_at) / 2;
 }
 
-// Limits of a response that has started, once its client has stopped waiting. A server that is still writing, with
-// pauses, is not cut off; a client is otherwise owed an end at most 500 ms after its timeout.
+// Limits of a response that has started, once its client has stopped waiting. A server that is still writing,
+// with pauses, is not cut off; a client is otherwise owed an end at most 500 ms after its timeout.
 constexpr double kOverdueGraceMs = 400;    // after the client's deadline
 constexpr double kOverdueSilenceMs = 1000; // after the last byte received
 
-// The time at which a response that has started ends without another byte. `last_bytes_at`: when the last one was
-// received. `client_deadline`: when the client stops waiting; until then `silence_timeout_ms` applies alone.
+// The time at which a response that has started ends without another byte. `last_bytes_at`: when the last one
+// was received. `client_deadline`: when the client stops waiting; until then `silence_timeout_ms` applies
+// alone.
 inline double silence_ends_at(double last_bytes_at, double silence_timeout_ms, double client_deadline) {
   const double overdue_at = std::max(client_deadline + kOverdueGraceMs, last_bytes_at + kOverdueSilenceMs);
   return std::min(last_bytes_at + silence_timeout_ms, overdue_at);
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -95,7 +95,8 @@
   config.max_descriptors = static_cast<std::uint32_t>(descriptor_limit.rlim_cur);
 }
 
-// A further signal would end the process by its default action once the handlers are gone, and look like a crash.
+// A further signal would end the process by its default action once the handlers are gone, and look like a
+// crash.
 void block_termination_signals() {
   sigset_t signals;
   sigemptyset(&signals);
--- a/src/descriptors/descriptor_budget.h
+++ b/src/descriptors/descriptor_budget.h
@@ -80,12 +80,12 @@
   double refused_at_ = 0;
 };
 
-// Budget of the bytes of requests: of incomplete ones, and of complete short bodies until their request ends. Response
-// bytes and long bodies have a separate budget, see body_buffers/.
+// Budget of the bytes of requests: of incomplete ones, and of complete short bodies until their request ends.
+// Response bytes and long bodies have a separate budget, see body_buffers/.
 //
-// Complete bodies may use kMaxCompleteShare of it, and the classes of less weight a smaller part, so that they are
-// rejected first and incomplete requests find room. A request of up to kSmallRequestBytes is never rejected: the
-// descriptors bound their number.
+// Complete bodies may use kMaxCompleteShare of it, and the classes of less weight a smaller part, so that
+// they are rejected first and incomplete requests find room. A request of up to kSmallRequestBytes is never
+// rejected: the descriptors bound their number.
 class RequestBufferBudget {
  public:
   static constexpr double kMaxCompleteShare = 0.75;
@@ -126,8 +126,8 @@
   bool must_reject_incomplete(std::size_t bytes) const {
     return used_bytes_ > total_bytes_ && bytes > kSmallRequestBytes;
   }
-  // Whether a complete body of `bytes` may be held. `weight_share`: the weight of its class relative to the greatest
-  // weight of all classes, from 0 to 1; half of the part for complete bodies is open to every class.
+  // Whether a complete body of `bytes` may be held. `weight_share`: the weight of its class relative to the
+  // greatest weight of all classes, from 0 to 1; half of the part for complete bodies is open to every class.
   bool admits_complete(std::size_t bytes, double weight_share) const {
     const double share = kMaxCompleteShare * (0.5 + 0.5 * weight_share);
     return bytes <= kSmallRequestBytes ||
--- a/src/downstream/codec.cpp
+++ b/src/downstream/codec.cpp
@@ -40,7 +40,8 @@
   return true;
 }
 
-// Whether `list`, a value of the Expect field, has no other expectation than the interim response before the body.
+// Whether `list`, a value of the Expect field, has no other expectation than the interim response before the
+// body.
 bool is_supported_expectation(std::string_view list) {
   while (!list.empty()) {
     const auto comma = std::min(list.find(','), list.size());
--- a/src/downstream/requests.cpp
+++ b/src/downstream/requests.cpp
@@ -296,7 +296,8 @@
 }
 
 // Reads a long stretch of the body from the socket, as libevent reads 4 KB at a time. Empty: there is no such
-// stretch or nothing to read; `all_read` is true if nothing was there. An end of the connection is left to libevent.
+// stretch or nothing to read; `all_read` is true if nothing was there. An end of the connection is left to
+// libevent.
 std::string_view Listener::read_body_directly(Connection& connection, std::size_t max_bytes, bool& all_read) {
   max_bytes = std::min({max_bytes, loop::IoBuffer::size(),
                         static_cast<std::size_t>(connection.parser.body().contiguous_body_bytes())});
--- a/src/http/field_line.cpp
+++ b/src/http/field_line.cpp
@@ -7,7 +7,8 @@
 namespace fernward::http {
 namespace {
 
-// RFC 9110 6.5.1: framing, routing, request modifiers, authentication, content format; and the router's protocol.
+// RFC 9110 6.5.1: framing, routing, request modifiers, authentication, content format; and the router's
+// protocol.
 constexpr std::string_view kForbiddenTrailers[] = {"authorization",
                                                    "connection",
                                                    "content-encoding",
--- a/src/http/field_line.h
+++ b/src/http/field_line.h
@@ -15,8 +15,8 @@
 /// False: no colon, a name that is no token, or white space around the name, as a folded line has.
 bool parse_field_line(std::string_view line, FieldLine& field);
 
-/// Whether a request may carry the line in its trailer section: a valid field, other than those that describe its
-/// framing, route or sender, which must be known before the body.
+/// Whether a request may carry the line in its trailer section: a valid field, other than those that describe
+/// its framing, route or sender, which must be known before the body.
 bool is_valid_trailer(std::string_view line);
 
 /// A comma-separated list of tokens; empty elements are allowed.
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -14,8 +14,8 @@
   return text.size() == 8 && text.substr(0, 7) == "HTTP/1." && is_digit(text[7]);
 }
 
-// The path and query of a request target, which clients send in absolute form to a configured proxy. Empty: the target
-// is invalid.
+// The path and query of a request target, which clients send in absolute form to a configured proxy. Empty:
+// the target is invalid.
 std::string path_of(std::string_view target) {
   AbsoluteForm absolute;
   if (!split_absolute_form(target, absolute)) return is_path_and_query(target) ? std::string(target) : "";
--- a/src/policy/give_up.cpp
+++ b/src/policy/give_up.cpp
@@ -28,8 +28,8 @@
   }
 }
 
-// A server that has begun to respond has done its work: its response is awaited until the client's deadline, even if
-// it has no value after the latency objective.
+// A server that has begun to respond has done its work: its response is awaited until the client's deadline,
+// even if it has no value after the latency objective.
 double Balancer::Impl::give_up_at(const RequestState& request) const {
   if (!request.awaits_body()) return request.response_deadline;
   return std::max(request.response_deadline, request.params.deadline - settings.event_interval_ms);
--- a/src/proxy/client_request.h
+++ b/src/proxy/client_request.h
@@ -18,8 +18,8 @@
       body_memory;                            // of the short body; null: it has none
   std::shared_ptr<RequestBody> streamed_body; // a long body, which may still be arriving; else null
   bool body_arriving = false;                 // the body is not complete yet
-  // When the last byte of the request was received, or may have been sent if the router read it late. While the
-  // body arrives: the latest time at which it may be complete. On the loop::now_ms() clock.
+  // When the last byte of the request was received, or may have been sent if the router read it late. While
+  // the body arrives: the latest time at which it may be complete. On the loop::now_ms() clock.
   double received_at_ms = 0;
   std::string id;              // the client's X-Request-ID, or a generated one
   std::string idempotency_key; // lets servers discard duplicates; empty: none
--- a/src/proxy/request_dispatcher.cpp
+++ b/src/proxy/request_dispatcher.cpp
@@ -147,8 +147,8 @@
     return false;
   if (!downstream_->start_response(active_request->client, std::move(head))) return false;
   active_request->streaming_attempt = attempt_id;
-  // The response may take longer than the client's timeout: upstream and downstream detect a stalled server or
-  // client.
+  // The response may take longer than the client's timeout: upstream and downstream detect a stalled server
+  // or client.
   timers_.cancel(active_request->deadline_timer);
   timers_.cancel(attempts_.find(attempt_id)->timeout);
   enqueue(fernward::ResponseStarted{attempt->request, attempt->number, attempt->server,
--- a/src/proxy/request_dispatcher.h
+++ b/src/proxy/request_dispatcher.h
@@ -49,7 +49,8 @@
   // RequestDispatcherOptions::discovery_poll_interval_ms.
   void set_discovery_poll(std::function<void()> poll) { discovery_poll_ = std::move(poll); }
 
-  // Adds a request that is complete, or whose body is still arriving. Returns 0 if there are too many requests.
+  // Adds a request that is complete, or whose body is still arriving. Returns 0 if there are too many
+  // requests.
   Handle open_request(Handle client, ClientRequest request);
   // Whether a request with this id is active, see the class comment.
   bool is_active_id(const std::string& id) const { return active_ids_.count(id) > 0; }
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -516,8 +516,8 @@
 }
 
 // The body of a response whose duplicate can be told from the next response; else empty. Only used where
-// connections are scarce, as a request whose response is a duplicate fails: values differ by their key, unlike
-// the responses to writes, rejections and errors.
+// connections are scarce, as a request whose response is a duplicate fails: values differ by their key,
+// unlike the responses to writes, rejections and errors.
 std::string ConnectionPool::comparable_body(const UpstreamConnection& connection) const {
   if (!connection.is(State::Buffering) || connection.request->is_write) return {};
   const ServerId endpoint = connection.endpoint.id;
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -27,8 +27,8 @@
 namespace fernward::upstream {
 
 /// Owns the upstream connections, and assigns requests to them. Free connections are the idle ones, and those
-/// that are still connecting and whose request was cancelled. An idle connection is reused only when its reuse
-/// delay is over, see idle_connections/reuse_delay.h; a request may be assigned to it before and waits.
+/// that are still connecting and whose request was cancelled. An idle connection is reused only when its
+/// reuse delay is over, see idle_connections/reuse_delay.h; a request may be assigned to it before and waits.
 class ConnectionPool : public proxy::UpstreamConnections, private ConnectionOwner {
  public:
   /// Closes a client connection to free a descriptor. False: no client connection can be closed.
--- a/src/upstream/response_receiver.cpp
+++ b/src/upstream/response_receiver.cpp
@@ -275,8 +275,8 @@
   start_silence_timeout(connection);
 }
 
-// Ends buffering in time even if no further bytes arrive. A short body is not started without them: if its endpoint has
-// stopped, the request still gets a complete response.
+// Ends buffering in time even if no further bytes arrive. A short body is not started without them: if its
+// endpoint has stopped, the request still gets a complete response.
 void ResponseReceiver::start_buffering_timeout(UpstreamConnection& connection) {
   const std::optional<std::uint64_t> length = connection.parser.body().length();
   if (length && *length <= context_.options.response_limits.min_start_bytes) return;
--- a/src/upstream/upstream_connection.h
+++ b/src/upstream/upstream_connection.h
@@ -142,8 +142,8 @@
   State state_ = State::Connecting;
 };
 
-/// Callbacks from the writer and the receiver to the pool. After each call except response_started() and body_unneeded() the
-/// connection may have been destroyed.
+/// Callbacks from the writer and the receiver to the pool. After each call except response_started() and
+/// body_unneeded() the connection may have been destroyed.
 class ConnectionOwner {
  public:
   virtual ~ConnectionOwner() = default;
--- a/tests/net/invalid_requests_test.cpp
+++ b/tests/net/invalid_requests_test.cpp
@@ -1,5 +1,5 @@
-// Invalid requests, and unusual valid ones, with the program as a separate process. docs/notes/http-syntax.md has the
-// rule for each.
+// Invalid requests, and unusual valid ones, with the program as a separate process. docs/notes/http-syntax.md
+// has the rule for each.
 #include <doctest/doctest.h>
 
 #include <memory>
--- a/tests/net/late_bodies_test.cpp
+++ b/tests/net/late_bodies_test.cpp
@@ -48,8 +48,8 @@
         {endpoint_json("s-1", cache.address), endpoint_json("o-1", origin.address, "in_service", "origin")});
   }
   bool wait_until(const std::function<bool()>& condition) { return run_until(base.get(), condition); }
-  // Sends a request and waits until `server` has it. A request that is active has a connection of its own to the
-  // server, so its number among the clients is that of the connection.
+  // Sends a request and waits until `server` has it. A request that is active has a connection of its own to
+  // the server, so its number among the clients is that of the connection.
   TestClient& start_request(ScriptedServer& server, const std::string& text) {
     const std::size_t before = server.requests.size();
     clients.push_back(std::make_unique<TestClient>(base.get(), program->port()));
--- a/tests/net/soak_test.cpp
+++ b/tests/net/soak_test.cpp
@@ -1,5 +1,6 @@
-// A soak of the program as a separate process: usual clients beside late bodies, invalid requests, incomplete ones and
-// crowds of connections, with signals in series, up to the end of a planned restart. Everything is drawn from a seed.
+// A soak of the program as a separate process: usual clients beside late bodies, invalid requests, incomplete
+// ones and crowds of connections, with signals in series, up to the end of a planned restart. Everything is
+// drawn from a seed.
 //
 // FERNWARD_SOAK_SEEDS=FIRST-LAST runs other seeds than the short run's.
 #include <doctest/doctest.h>
